--- a/include/ragwortdrift/base/asio_timer_driver.hpp
+++ b/include/ragwortdrift/base/asio_timer_driver.hpp
@@ -23,7 +23,6 @@
 
   TimerService &m_Timers;
   boost::asio::steady_timer m_Timer;
-  std::chrono::steady_clock::time_point m_Start;
 };
 
 /// Wall-clock time, for values that leave the process or are written into the
--- /dev/null
+++ b/include/ragwortdrift/net/http_client.hpp
@@ -0,0 +1,65 @@
+#ifndef RAGWORTDRIFT_NET_HTTP_CLIENT_HPP
+#define RAGWORTDRIFT_NET_HTTP_CLIENT_HPP
+
+#include "ragwortdrift/base/result.hpp"
+#include "ragwortdrift/base/time.hpp"
+#include "ragwortdrift/net/http_types.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace ragwortdrift {
+
+/// One client connection that carries one request at a time. Closing it cancels
+/// the request. Callbacks run on the thread of the io_context, never within the
+/// call that registers them.
+class HttpClientConnection
+    : public std::enable_shared_from_this<HttpClientConnection> {
+public:
+  using ConnectCallback = std::function<void(Result<Done, HttpError>)>;
+  using Callback = std::function<void(Result<HttpResponse, HttpError>)>;
+
+  static constexpr std::uint64_t MaxBodyBytes = 1024 * 1024;
+
+  explicit HttpClientConnection(boost::asio::io_context &Io) : m_Stream(Io) {}
+
+  void connect(const std::string &Ip, std::uint16_t Port, Duration Timeout,
+               ConnectCallback Fn);
+  /// Sends a request on an idle connection and calls back with the whole
+  /// answer.
+  void send(HttpRequest Request, Duration Timeout, Callback Fn);
+  /// Closes the connection; a pending callback runs with Cancelled.
+  void close();
+  /// True while it can take a request: open, idle and not known to be closed by
+  /// the other side.
+  bool usable() const { return m_Open && !m_Busy; }
+
+private:
+  void finish(Result<HttpResponse, HttpError> Outcome);
+  void watchIdle();
+
+  boost::beast::tcp_stream m_Stream;
+  boost::beast::flat_buffer m_Buffer;
+  std::optional<
+      boost::beast::http::response_parser<boost::beast::http::string_body>>
+      m_Parser;
+  HttpRequest m_Request;
+  Callback m_Callback;
+  /// Grows with each request, so that a wait for the end of one idle period
+  /// cannot end a later one.
+  std::uint64_t m_IdlePeriod = 0;
+  bool m_Open = false;
+  bool m_Busy = false;
+  bool m_Closing = false;
+};
+
+} // namespace ragwortdrift
+
+#endif
--- /dev/null
+++ b/include/ragwortdrift/node/query.hpp
@@ -0,0 +1,113 @@
+#ifndef RAGWORTDRIFT_NODE_QUERY_HPP
+#define RAGWORTDRIFT_NODE_QUERY_HPP
+
+#include "ragwortdrift/base/enum_names.hpp"
+#include "ragwortdrift/base/ids.hpp"
+#include "ragwortdrift/base/time.hpp"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ragwortdrift {
+
+enum class Priority : std::uint8_t { Low, Normal, High };
+template <> struct EnumNames<Priority> {
+  static constexpr std::array Entries{
+      EnumName<Priority>{Priority::Low, "low"},
+      EnumName<Priority>{Priority::Normal, "normal"},
+      EnumName<Priority>{Priority::High, "high"}};
+};
+
+/// What is needed to run a request that is not repeatable at most once.
+struct BookingIdentity {
+  IdempotencyKey m_Key;
+  UnixMillis m_IssuedAt{0};
+};
+
+/// A caller's request, checked.
+struct QueryRequest {
+  ServiceName m_Service;
+  /// Time the caller waits, from the arrival of the request; nothing for the
+  /// service's default.
+  std::optional<Duration> m_Deadline;
+  double m_MinCoverage = 0;
+  std::optional<SnapshotVersion> m_Snapshot;
+  Priority m_Priority = Priority::Normal;
+  CustomerId m_Customer;
+  /// Set when the request is marked as not repeatable.
+  std::optional<BookingIdentity> m_Booking;
+  std::string m_RequestId;
+  std::string m_Body;
+};
+
+enum class RefusalCode : std::uint8_t {
+  BadRequest,
+  UnknownService,
+  TooLarge,
+  Overloaded,
+  Stopping,
+  NoConfiguration,
+  NoQuorum,
+  CoverageTooLow,
+  DeadlineExceeded,
+  Unavailable,
+  MayHaveRun,
+  KeyReused,
+  KeyExpired,
+  KeyInProgress,
+  Internal
+};
+template <> struct EnumNames<RefusalCode> {
+  static constexpr std::array Entries{
+      EnumName<RefusalCode>{RefusalCode::BadRequest, "bad_request"},
+      EnumName<RefusalCode>{RefusalCode::UnknownService, "unknown_service"},
+      EnumName<RefusalCode>{RefusalCode::TooLarge, "too_large"},
+      EnumName<RefusalCode>{RefusalCode::Overloaded, "overloaded"},
+      EnumName<RefusalCode>{RefusalCode::Stopping, "stopping"},
+      EnumName<RefusalCode>{RefusalCode::NoConfiguration, "no_configuration"},
+      EnumName<RefusalCode>{RefusalCode::NoQuorum, "no_quorum"},
+      EnumName<RefusalCode>{RefusalCode::CoverageTooLow, "coverage_too_low"},
+      EnumName<RefusalCode>{RefusalCode::DeadlineExceeded, "deadline_exceeded"},
+      EnumName<RefusalCode>{RefusalCode::Unavailable, "unavailable"},
+      EnumName<RefusalCode>{RefusalCode::MayHaveRun, "may_have_run"},
+      EnumName<RefusalCode>{RefusalCode::KeyReused, "key_reused"},
+      EnumName<RefusalCode>{RefusalCode::KeyExpired, "key_expired"},
+      EnumName<RefusalCode>{RefusalCode::KeyInProgress, "key_in_progress"},
+      EnumName<RefusalCode>{RefusalCode::Internal, "internal"}};
+};
+
+/// Why a caller gets no answer. m_NotRun is true only when no part of the
+/// request ran at a leaf and none will.
+struct Refusal {
+  RefusalCode m_Code = RefusalCode::Internal;
+  bool m_NotRun = false;
+  std::string m_Detail;
+};
+
+/// The HTTP status of a refusal.
+unsigned httpStatusOf(RefusalCode Code);
+
+/// The part of an answer that one group gave.
+struct AnswerPart {
+  GroupName m_Group;
+  LeafId m_Leaf;
+  std::string m_Body;
+};
+
+/// A whole answer. All parts are of m_Snapshot; the groups without a part are
+/// in m_Missing.
+struct QueryAnswer {
+  SnapshotVersion m_Snapshot;
+  std::uint32_t m_GroupsAsked = 0;
+  std::vector<AnswerPart> m_Parts;
+  std::vector<GroupName> m_Missing;
+  bool m_DeadlineCut = false;
+};
+
+using QueryOutcome = std::variant<QueryAnswer, Refusal>;
+
+} // namespace ragwortdrift
+
+#endif
--- a/src/ragwortdrift/base/asio_timer_driver.cpp
+++ b/src/ragwortdrift/base/asio_timer_driver.cpp
@@ -14,7 +14,7 @@
 void AsioTimerDriver::start() { tick(); }
 
 void AsioTimerDriver::refresh() {
-  const auto Elapsed = std::chrono::steady_clock::now() - m_Start;
+  const auto Elapsed = std::chrono::steady_clock::now().time_since_epoch();
   m_Timers.advanceTo(TimePoint{std::chrono::duration_cast<Duration>(Elapsed)});
 }
 
--- /dev/null
+++ b/src/ragwortdrift/net/http_client.cpp
@@ -0,0 +1,118 @@
+#include "ragwortdrift/net/http_client.hpp"
+
+#include <boost/beast/http.hpp>
+
+namespace ragwortdrift {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+HttpErrorCode codeOf(const beast::error_code &Error) {
+  if (Error == beast::error::timeout)
+    return HttpErrorCode::Timeout;
+  if (Error.category() == make_error_code(http::error::bad_status).category() &&
+      Error != http::error::end_of_stream &&
+      Error != http::error::partial_message)
+    return HttpErrorCode::BadResponse;
+  return HttpErrorCode::ConnectionLost;
+}
+
+} // namespace
+
+void HttpClientConnection::connect(const std::string &Ip, std::uint16_t Port,
+                                   Duration Timeout, ConnectCallback Fn) {
+  beast::error_code Error;
+  const auto Address = asio::ip::make_address(Ip, Error);
+  if (Error) {
+    asio::post(m_Stream.get_executor(),
+               [Fn = std::move(Fn), Detail = Error.message()] {
+                 Fn(HttpError{HttpErrorCode::ConnectFailed, false, Detail});
+               });
+    return;
+  }
+  m_Stream.expires_after(Timeout);
+  m_Stream.async_connect(tcp::endpoint(Address, Port),
+                         [Self = shared_from_this(),
+                          Fn = std::move(Fn)](beast::error_code ConnectError) {
+                           if (ConnectError || Self->m_Closing) {
+                             Fn(HttpError{HttpErrorCode::ConnectFailed, false,
+                                          ConnectError.message()});
+                             return;
+                           }
+                           beast::error_code Ignored;
+                           Self->m_Stream.socket().set_option(
+                               tcp::no_delay(true), Ignored);
+                           Self->m_Open = true;
+                           Self->watchIdle();
+                           Fn(Done{});
+                         });
+}
+
+void HttpClientConnection::send(HttpRequest Request, Duration Timeout,
+                                Callback Fn) {
+  m_Busy = true;
+  ++m_IdlePeriod;
+  m_Callback = std::move(Fn);
+  m_Request = std::move(Request);
+  m_Request.prepare_payload();
+  m_Parser.emplace();
+  m_Parser->body_limit(MaxBodyBytes);
+  m_Stream.expires_after(Timeout);
+  http::async_write(
+      m_Stream, m_Request,
+      [Self = shared_from_this()](beast::error_code Error, std::size_t Bytes) {
+        if (Error) {
+          Self->finish(HttpError{codeOf(Error), Bytes > 0, Error.message()});
+          return;
+        }
+        http::async_read(Self->m_Stream, Self->m_Buffer, *Self->m_Parser,
+                         [Self](beast::error_code ReadError, std::size_t) {
+                           if (ReadError)
+                             Self->finish(HttpError{codeOf(ReadError), true,
+                                                    ReadError.message()});
+                           else
+                             Self->finish(Self->m_Parser->release());
+                         });
+      });
+}
+
+void HttpClientConnection::close() {
+  m_Closing = true;
+  m_Open = false;
+  beast::error_code Ignored;
+  m_Stream.socket().close(Ignored);
+}
+
+void HttpClientConnection::finish(Result<HttpResponse, HttpError> Outcome) {
+  m_Busy = false;
+  if (!isOk(Outcome)) {
+    if (m_Closing)
+      std::get<1>(Outcome).m_Code = HttpErrorCode::Cancelled;
+    close();
+  } else if (!valueOf(Outcome).keep_alive()) {
+    close();
+  } else {
+    watchIdle();
+  }
+  if (auto Fn = std::exchange(m_Callback, nullptr))
+    Fn(std::move(Outcome));
+}
+
+void HttpClientConnection::watchIdle() {
+  // A readable idle connection was closed by the other side or is out of step;
+  // either way it is not used again. The period tells this wait from one that
+  // an answer to a former request has ended.
+  m_Stream.socket().async_wait(
+      tcp::socket::wait_read, [Weak = weak_from_this(),
+                               Period = m_IdlePeriod](beast::error_code Error) {
+        auto Self = Weak.lock();
+        if (Self && !Error && Self->m_IdlePeriod == Period)
+          Self->close();
+      });
+}
+
+} // namespace ragwortdrift
