--- a/include/ragwortdrift/config/manifest.hpp
+++ b/include/ragwortdrift/config/manifest.hpp
@@ -52,6 +52,10 @@
   }
 };
 
+/// True for the kinds of section that a manifest holds; false for registered
+/// VMs and operators' orders.
+bool isManifestKind(SectionKind Kind);
+
 /// One line for people: section, key, code and detail.
 std::string describe(const ConfigError &Error);
 
--- /dev/null
+++ b/src/ragwortdrift/config/manifest.cpp
@@ -0,0 +1,201 @@
+#include "ragwortdrift/config/manifest.hpp"
+#include "ragwortdrift/config/fields.hpp"
+#include "ragwortdrift/config/ini.hpp"
+#include "ragwortdrift/config/settings.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace ragwortdrift {
+
+namespace {
+
+using detail::FieldRule;
+using detail::IniEntry;
+using detail::IniSection;
+
+bool occursOnce(SectionKind Kind) {
+  return Kind == SectionKind::Manifest || Kind == SectionKind::Limits;
+}
+
+std::string headerOf(const SectionKey &Key) {
+  std::string Header(nameOf(Key.m_Kind));
+  if (!Key.m_Name.empty())
+    Header += " " + Key.m_Name;
+  return Header;
+}
+
+class ManifestReader {
+public:
+  Result<Document, std::vector<ConfigError>> read(std::string_view Text) {
+    const std::vector<IniSection> Sections = detail::readIni(Text, m_Errors);
+    for (const IniSection &Section : Sections)
+      readSection(Section);
+    if (!m_Lines.contains({SectionKind::Manifest, ""}))
+      m_Errors.push_back({ConfigErrorCode::MissingKey, 0, "manifest", "name",
+                          "the section [manifest] is required"});
+    checkReferences();
+    if (!m_Errors.empty()) {
+      detail::sortByLine(m_Errors);
+      return std::move(m_Errors);
+    }
+    return std::move(m_Doc);
+  }
+
+private:
+  void fail(ConfigErrorCode Code, std::size_t Line, std::string Section,
+            std::string Key, std::string Detail) {
+    m_Errors.push_back(
+        {Code, Line, std::move(Section), std::move(Key), std::move(Detail)});
+  }
+
+  void readSection(const IniSection &Section) {
+    // A faulty header is already reported.
+    if (Section.m_Header.empty())
+      return;
+    const auto Space = Section.m_Header.find(' ');
+    const auto Kind = parseEnum<SectionKind>(Section.m_Header.substr(0, Space));
+    if (!Kind || !isManifestKind(*Kind)) {
+      fail(ConfigErrorCode::UnknownSection, Section.m_Line, Section.m_Header,
+           {}, "expected manifest, domain, service, leaf, customer or limits");
+      return;
+    }
+    const std::string Name =
+        Space == std::string::npos ? "" : Section.m_Header.substr(Space + 1);
+    if (occursOnce(*Kind) ? !Name.empty() : !detail::isName(Name)) {
+      fail(ConfigErrorCode::BadValue, Section.m_Line, Section.m_Header, {},
+           occursOnce(*Kind)
+               ? "this section has no name"
+               : "expected a name (1 to 64 of a-z A-Z 0-9 . _ -)");
+    }
+    const SectionKey Key{*Kind, Name};
+    if (!m_Lines.emplace(Key, Section.m_Line).second) {
+      // Reported as a duplicate; its keys are checked but do not count.
+      ragwortdrift::Section Ignored;
+      readKeys(Section, *Kind, Ignored);
+      return;
+    }
+    readKeys(Section, *Kind, m_Doc[Key]);
+  }
+
+  void readKeys(const IniSection &Section, SectionKind Kind,
+                ragwortdrift::Section &Values) {
+    for (const IniEntry &Entry : Section.m_Entries) {
+      Values.emplace(Entry.m_Key, Entry.m_Value);
+      if (Kind == SectionKind::Customer)
+        continue;
+      const auto Rules = detail::manifestRules();
+      const auto Rule =
+          std::find_if(Rules.begin(), Rules.end(), [&](const FieldRule &R) {
+            return R.m_Section == Kind && R.m_Key == Entry.m_Key;
+          });
+      if (Rule == Rules.end()) {
+        fail(ConfigErrorCode::UnknownKey, Entry.m_Line, Section.m_Header,
+             Entry.m_Key, "the section has no such key");
+      } else if (const auto Fault = detail::checkField(*Rule, Entry.m_Value)) {
+        fail(Fault->m_Code, Entry.m_Line, Section.m_Header, Entry.m_Key,
+             Fault->m_Detail);
+        m_BadValues.insert(Entry.m_Line);
+      }
+    }
+    for (const FieldRule &Rule : detail::manifestRules())
+      if (Rule.m_Section == Kind && Rule.m_Required &&
+          !Values.contains(std::string(Rule.m_Key)))
+        fail(ConfigErrorCode::MissingKey, Section.m_Line, Section.m_Header,
+             std::string(Rule.m_Key), "the key is required");
+    for (const IniEntry &Entry : Section.m_Entries)
+      if (Kind == SectionKind::Leaf && !m_BadValues.contains(Entry.m_Line))
+        m_LeafEntries.push_back({Section.m_Header, Entry});
+  }
+
+  void checkReferences() {
+    std::set<std::string> Used;
+    std::map<Endpoint, std::string> Addresses;
+    for (const auto &[Header, Entry] : m_LeafEntries) {
+      if (Entry.m_Key == "service") {
+        Used.insert(Entry.m_Value);
+        checkExists(SectionKind::Service, Header, Entry);
+      } else if (Entry.m_Key == "domain") {
+        checkExists(SectionKind::Domain, Header, Entry);
+      } else if (Entry.m_Key == "address") {
+        const auto Address = parseEndpoint(Entry.m_Value);
+        const auto [First, Inserted] = Addresses.emplace(*Address, Header);
+        if (!Inserted)
+          fail(ConfigErrorCode::Duplicate, Entry.m_Line, Header, Entry.m_Key,
+               Entry.m_Value + " is the address of [" + First->second + "]");
+      }
+    }
+    for (const auto &[Key, Line] : m_Lines)
+      if (Key.m_Kind == SectionKind::Service && !Used.contains(Key.m_Name))
+        fail(ConfigErrorCode::Empty, Line, headerOf(Key), {},
+             "the service has no leafs");
+  }
+
+  void checkExists(SectionKind Kind, const std::string &Header,
+                   const IniEntry &Entry) {
+    if (!m_Lines.contains({Kind, Entry.m_Value}))
+      fail(ConfigErrorCode::UnknownReference, Entry.m_Line, Header, Entry.m_Key,
+           "there is no [" + headerOf({Kind, Entry.m_Value}) + "]");
+  }
+
+  std::vector<ConfigError> m_Errors;
+  Document m_Doc;
+  std::map<SectionKey, std::size_t> m_Lines;
+  std::set<std::size_t> m_BadValues;
+  std::vector<std::pair<std::string, IniEntry>> m_LeafEntries;
+};
+
+} // namespace
+
+bool isManifestKind(SectionKind Kind) {
+  switch (Kind) {
+  case SectionKind::Manifest:
+  case SectionKind::Domain:
+  case SectionKind::Service:
+  case SectionKind::Leaf:
+  case SectionKind::Customer:
+  case SectionKind::Limits:
+    return true;
+  case SectionKind::Vm:
+  case SectionKind::DomainOrder:
+  case SectionKind::LeafOrder:
+    return false;
+  }
+  return false;
+}
+
+std::string describe(const ConfigError &Error) {
+  std::string Out;
+  if (Error.m_Line != 0)
+    Out += "line " + std::to_string(Error.m_Line) + ": ";
+  if (!Error.m_Section.empty())
+    Out += "[" + Error.m_Section + "] ";
+  if (!Error.m_Key.empty())
+    Out += Error.m_Key + ": ";
+  return Out + std::string(nameOf(Error.m_Code)) + ": " + Error.m_Detail;
+}
+
+Result<Document, std::vector<ConfigError>>
+parseManifest(std::string_view Text) {
+  return ManifestReader().read(Text);
+}
+
+std::string formatManifest(const Document &Doc) {
+  std::string Out;
+  for (const auto &[Key, Values] : Doc) {
+    if (!isManifestKind(Key.m_Kind))
+      continue;
+    if (!Out.empty())
+      Out += '\n';
+    Out += "[" + headerOf(Key) + "]\n";
+    for (const auto &[Name, Value] : Values) {
+      Out += Name;
+      Out += Value.empty() ? " =" : " = " + Value;
+      Out += '\n';
+    }
+  }
+  return Out;
+}
+
+} // namespace ragwortdrift
