--- a/include/ragwortdrift/node/query.hpp
+++ b/include/ragwortdrift/node/query.hpp
@@ -4,6 +4,7 @@
 #include "ragwortdrift/base/enum_names.hpp"
 #include "ragwortdrift/base/ids.hpp"
 #include "ragwortdrift/base/time.hpp"
+#include "ragwortdrift/policy/admission.hpp"
 
 #include <optional>
 #include <string>
@@ -12,14 +13,6 @@
 
 namespace ragwortdrift {
 
-enum class Priority : std::uint8_t { Low, Normal, High };
-template <> struct EnumNames<Priority> {
-  static constexpr std::array Entries{
-      EnumName<Priority>{Priority::Low, "low"},
-      EnumName<Priority>{Priority::Normal, "normal"},
-      EnumName<Priority>{Priority::High, "high"}};
-};
-
 /// What is needed to run a request that is not repeatable at most once.
 struct BookingIdentity {
   IdempotencyKey m_Key;
@@ -90,7 +83,7 @@
 unsigned httpStatusOf(RefusalCode Code);
 
 /// The part of an answer that one group gave.
-struct AnswerPart {
+struct QueryPart {
   GroupName m_Group;
   LeafId m_Leaf;
   std::string m_Body;
@@ -101,7 +94,7 @@
 struct QueryAnswer {
   SnapshotVersion m_Snapshot;
   std::uint32_t m_GroupsAsked = 0;
-  std::vector<AnswerPart> m_Parts;
+  std::vector<QueryPart> m_Parts;
   std::vector<GroupName> m_Missing;
   bool m_DeadlineCut = false;
 };
--- a/include/ragwortdrift/node/relay_messages.hpp
+++ b/include/ragwortdrift/node/relay_messages.hpp
@@ -3,6 +3,7 @@
 
 #include "ragwortdrift/base/codec.hpp"
 #include "ragwortdrift/base/ids.hpp"
+#include "ragwortdrift/policy/leaf_gate.hpp"
 
 #include <optional>
 #include <string>
@@ -15,13 +16,20 @@
 struct RelayItem {
   std::uint32_t m_Item = 0;
   LeafId m_Leaf;
+  /// The process that the entry VM has lately seen serving, so that a new owner need not take the leaf for cold;
+  /// empty when unknown.
+  std::string m_WarmBootId;
+  /// The entry VM has no other replica of the group.
+  bool m_LastReplica = false;
 
-  template <class Archive> void serialize(Archive &Ar) { Ar(m_Item, m_Leaf); }
+  template <class Archive> void serialize(Archive &Ar) { Ar(m_Item, m_Leaf, m_WarmBootId, m_LastReplica); }
 };
 
 /// The leaf requests of one query for one partition, sent by the entry VM to
 /// the partition's owner.
 struct RelayRequest {
+  /// Unique among the relays of the sending VM's daemon; names the relay in a RelayCancel.
+  std::uint64_t m_RelayId = 0;
   FailureDomain m_EntryDomain;
   ServiceName m_Service;
   std::string m_Partition;
@@ -36,14 +44,14 @@
   std::vector<RelayItem> m_Items;
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(m_EntryDomain, m_Service, m_Partition, m_TimeLeft, m_Snapshot,
+    Ar(m_RelayId, m_EntryDomain, m_Service, m_Partition, m_TimeLeft, m_Snapshot,
        m_RequestId, m_Key, m_Body, m_Items);
   }
 };
 
 /// What became of a leaf request. Every status but Answered and MayHaveRun
 /// means that it did not run.
-enum class LeafStatus : std::uint8_t {
+enum class RelayStatus : std::uint8_t {
   Answered,
   NotOwner,
   StaleConfiguration,
@@ -57,29 +65,29 @@
   DeadlineBeforeSend,
   MayHaveRun
 };
-template <> struct EnumNames<LeafStatus> {
+template <> struct EnumNames<RelayStatus> {
   static constexpr std::array Entries{
-      EnumName<LeafStatus>{LeafStatus::Answered, "answered"},
-      EnumName<LeafStatus>{LeafStatus::NotOwner, "not_owner"},
-      EnumName<LeafStatus>{LeafStatus::StaleConfiguration,
+      EnumName<RelayStatus>{RelayStatus::Answered, "answered"},
+      EnumName<RelayStatus>{RelayStatus::NotOwner, "not_owner"},
+      EnumName<RelayStatus>{RelayStatus::StaleConfiguration,
                            "stale_configuration"},
-      EnumName<LeafStatus>{LeafStatus::Cold, "cold"},
-      EnumName<LeafStatus>{LeafStatus::QueueFull, "queue_full"},
-      EnumName<LeafStatus>{LeafStatus::LeafOut, "leaf_out"},
-      EnumName<LeafStatus>{LeafStatus::Draining, "draining"},
-      EnumName<LeafStatus>{LeafStatus::Shed, "shed"},
-      EnumName<LeafStatus>{LeafStatus::VersionNotOffered,
+      EnumName<RelayStatus>{RelayStatus::Cold, "cold"},
+      EnumName<RelayStatus>{RelayStatus::QueueFull, "queue_full"},
+      EnumName<RelayStatus>{RelayStatus::LeafOut, "leaf_out"},
+      EnumName<RelayStatus>{RelayStatus::Draining, "draining"},
+      EnumName<RelayStatus>{RelayStatus::Shed, "shed"},
+      EnumName<RelayStatus>{RelayStatus::VersionNotOffered,
                            "version_not_offered"},
-      EnumName<LeafStatus>{LeafStatus::ConnectFailed, "connect_failed"},
-      EnumName<LeafStatus>{LeafStatus::DeadlineBeforeSend,
+      EnumName<RelayStatus>{RelayStatus::ConnectFailed, "connect_failed"},
+      EnumName<RelayStatus>{RelayStatus::DeadlineBeforeSend,
                            "deadline_before_send"},
-      EnumName<LeafStatus>{LeafStatus::MayHaveRun, "may_have_run"}};
+      EnumName<RelayStatus>{RelayStatus::MayHaveRun, "may_have_run"}};
 };
 
 /// The outcome of one leaf request.
-struct LeafAnswer {
+struct RelayAnswer {
   std::uint32_t m_Item = 0;
-  LeafStatus m_Status = LeafStatus::MayHaveRun;
+  RelayStatus m_Status = RelayStatus::MayHaveRun;
   /// HTTP status of the leaf; 0 when there was no answer.
   std::uint16_t m_HttpStatus = 0;
   SnapshotVersion m_Snapshot;
@@ -87,20 +95,33 @@
   /// Time from sending to the answer, and time in the owner's queue before.
   Duration m_LeafTime{0};
   Duration m_QueueTime{0};
-  /// Requests at the leaf in units of its slots, as its last answer reported.
-  double m_Load = 0;
-  bool m_Cold = false;
-  bool m_Leaving = false;
+  /// The leaf's process, as its last answer named it.
+  std::string m_BootId;
+  LeafReport m_Report;
+  /// With a refusal: when the leaf is worth asking again, if known.
+  std::optional<Duration> m_RetryAfter;
   /// With NotOwner: the VM that holds the lease, if known.
   std::optional<VmId> m_Holder;
   std::string m_Body;
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(m_Item, m_Status, m_HttpStatus, m_Snapshot, m_Offered, m_LeafTime,
-       m_QueueTime, m_Load, m_Cold, m_Leaving, m_Holder, m_Body);
+    Ar(m_Item, m_Status, m_HttpStatus, m_Snapshot, m_Offered, m_LeafTime, m_QueueTime, m_BootId, m_Report, m_RetryAfter, m_Holder, m_Body);
   }
 };
 
+/// Ends items of a relay whose answers are no longer wanted.
+struct RelayCancel {
+  std::uint64_t m_RelayId = 0;
+  std::vector<std::uint32_t> m_Items;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(m_RelayId, m_Items); }
+};
+
+/// Whether the status proves that the request did not run at the leaf.
+constexpr bool provesNotRun(RelayStatus Status) {
+  return Status != RelayStatus::Answered && Status != RelayStatus::MayHaveRun;
+}
+
 } // namespace ragwortdrift
 
 #endif
--- a/src/ragwortdrift/node/caller_api.cpp
+++ b/src/ragwortdrift/node/caller_api.cpp
@@ -122,7 +122,7 @@
   for (const GroupName &Group : Answer.m_Missing)
     Missing.emplace_back(Group.m_Value);
   json::array Parts;
-  for (const AnswerPart &Part : Answer.m_Parts)
+  for (const QueryPart &Part : Answer.m_Parts)
     Parts.push_back({{"group", Part.m_Group.m_Value},
                      {"leaf", Part.m_Leaf.m_Value},
                      {"body", Part.m_Body}});
