--- /dev/null
+++ b/include/ragwortdrift/policy/hedge.hpp
@@ -0,0 +1,62 @@
+#ifndef RAGWORTDRIFT_POLICY_HEDGE_HPP
+#define RAGWORTDRIFT_POLICY_HEDGE_HPP
+
+#include "ragwortdrift/policy/latency_window.hpp"
+#include "ragwortdrift/policy/replica_choice.hpp"
+
+namespace ragwortdrift {
+
+/// Token bucket that hedges and retries share. It starts empty, earns Ratio for
+/// each first request, and so never lets extra requests exceed Ratio of the
+/// first ones.
+class HedgeBudget {
+public:
+  /// Ratio 0 to 1. Burst bounds what a quiet time can save up.
+  explicit HedgeBudget(double Ratio = 0.05, double Burst = 50)
+      : m_Ratio(Ratio), m_Burst(Burst) {}
+
+  void onFirstRequest();
+  /// Takes a token for one extra request; false when there is none.
+  bool tryTake();
+  /// Share of the burst that is left, 0 to 1.
+  double level() const { return m_Tokens / m_Burst; }
+  double ratio() const { return m_Ratio; }
+  void setRatio(double Ratio) { m_Ratio = Ratio; }
+
+private:
+  double m_Ratio;
+  double m_Burst;
+  double m_Tokens = 0;
+};
+
+/// When to hedge. One object a service and traffic thread.
+class HedgePolicy {
+public:
+  explicit HedgePolicy(double Ratio = 0.05) : m_Ratio(Ratio) {}
+
+  /// The latency of a leaf request as the entry VM saw it; for a cancelled one
+  /// the time waited.
+  void onLatency(TimePoint Now, Duration Latency);
+  /// Requests waiting for each slot, from an owner's report.
+  void onQueue(TimePoint Now, double QueuePerSlot);
+
+  /// How long to wait for a group before a hedge; nothing when hedging is off:
+  /// too few samples, or the owners' queues are above 2 a slot.
+  std::optional<Duration> delay(TimePoint Now, const HedgeBudget &Budget,
+                                ChoiceKind Kind = ChoiceKind::Normal) const;
+
+  /// Quantiles of the service's leaf latency, for other rules and metrics.
+  const LatencyWindow &latency() const { return m_Latency; }
+  bool saturated() const { return m_Saturated; }
+
+private:
+  double m_Ratio;
+  LatencyWindow m_Latency;
+  double m_Queue = 0;
+  TimePoint m_QueueAt;
+  bool m_Saturated = false;
+};
+
+} // namespace ragwortdrift
+
+#endif
