--- a/include/ragwortdrift/node/leaf_owner.hpp
+++ b/include/ragwortdrift/node/leaf_owner.hpp
@@ -3,8 +3,10 @@
 
 #include "ragwortdrift/base/timer_service.hpp"
 #include "ragwortdrift/node/control_view.hpp"
-#include "ragwortdrift/node/leaf_connections.hpp"
 #include "ragwortdrift/node/relay_messages.hpp"
+#include "ragwortdrift/policy/leaf_lifecycle.hpp"
+
+#include <boost/asio/io_context.hpp>
 
 #include <functional>
 #include <memory>
@@ -13,49 +15,60 @@
 namespace ragwortdrift {
 
 class OwnedLeaf;
+class OwnedService;
 
 /// The owner side of a VM on one traffic thread: it holds the connections,
 /// slots and allowances of the leafs whose partitions this VM has leased, and
 /// sends them the requests of all entry VMs.
 class LeafOwner {
 public:
-  using OnAnswer = std::function<void(LeafAnswer)>;
+  using OnAnswer = std::function<void(RelayAnswer)>;
 
-  /// Ends the leaf requests of a relay that are still open when it is destroyed
-  /// or cancelled.
+  /// The open items of one relay. Those that are still open when it is
+  /// destroyed or cancelled end without an answer.
   class Relay {
   public:
     ~Relay() { cancel(); }
     void cancel();
+    void cancel(std::uint32_t Item);
 
   private:
     friend class LeafOwner;
-    std::vector<std::function<void()>> m_Cancel;
+    std::map<std::uint32_t, std::function<void()>> m_Cancel;
   };
 
   LeafOwner(boost::asio::io_context &Io, TimerService &Timers,
-            FailureDomain Domain);
+            const LeafChart &Chart, FailureDomain Domain);
   ~LeafOwner();
 
   /// Takes over a new view. Leafs whose partition is no longer leased accept
-  /// nothing more.
+  /// nothing more; their open requests go on.
   void update(std::shared_ptr<const ControlView> View);
-  /// Starts the items of a relay. Fn runs once for each item unless the relay
-  /// is cancelled before; it may run within this call for items that are
-  /// refused.
+  /// Starts the items of a relay. Fn runs once for each item that is not
+  /// cancelled before, never within this call.
   std::shared_ptr<Relay> start(const RelayRequest &Request, OnAnswer Fn);
   /// Requests at leafs and in queues.
   std::size_t inFlight() const;
 
 private:
-  LeafStatus checkPartition(const RelayRequest &Request) const;
-  OwnedLeaf *findLeaf(const RelayRequest &Request, const LeafId &Id);
+  RelayStatus checkPartition(const RelayRequest &Request) const;
+  std::shared_ptr<OwnedLeaf> findLeaf(const RelayRequest &Request,
+                                      const RelayItem &Item);
+  void startItem(const std::shared_ptr<Relay> &Handle,
+                 const RelayRequest &Request, const RelayItem &Item,
+                 const OnAnswer &Fn);
+  void refuse(const std::shared_ptr<Relay> &Handle,
+              const std::string &Partition, std::uint32_t Item,
+              RelayStatus Status, const OnAnswer &Fn);
 
   boost::asio::io_context &m_Io;
   TimerService &m_Timers;
+  const LeafChart &m_Chart;
   FailureDomain m_Domain;
   std::shared_ptr<const ControlView> m_View;
+  std::unordered_map<ServiceName, std::shared_ptr<OwnedService>> m_Services;
   std::unordered_map<LeafId, std::shared_ptr<OwnedLeaf>> m_Leafs;
+  TimerService::Subscription m_Upkeep;
 };
 
 } // namespace ragwortdrift
--- a/include/ragwortdrift/node/relay_messages.hpp
+++ b/include/ragwortdrift/node/relay_messages.hpp
@@ -16,19 +16,22 @@
 struct RelayItem {
   std::uint32_t m_Item = 0;
   LeafId m_Leaf;
-  /// The process that the entry VM has lately seen serving, so that a new owner need not take the leaf for cold;
-  /// empty when unknown.
+  /// The process that the entry VM has lately seen serving, so that a new owner
+  /// need not take the leaf for cold; empty when unknown.
   std::string m_WarmBootId;
   /// The entry VM has no other replica of the group.
   bool m_LastReplica = false;
 
-  template <class Archive> void serialize(Archive &Ar) { Ar(m_Item, m_Leaf, m_WarmBootId, m_LastReplica); }
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_Item, m_Leaf, m_WarmBootId, m_LastReplica);
+  }
 };
 
 /// The leaf requests of one query for one partition, sent by the entry VM to
 /// the partition's owner.
 struct RelayRequest {
-  /// Unique among the relays of the sending VM's daemon; names the relay in a RelayCancel.
+  /// Unique among the relays of the sending VM's daemon; names the relay in a
+  /// RelayCancel.
   std::uint64_t m_RelayId = 0;
   FailureDomain m_EntryDomain;
   ServiceName m_Service;
@@ -70,17 +73,17 @@
       EnumName<RelayStatus>{RelayStatus::Answered, "answered"},
       EnumName<RelayStatus>{RelayStatus::NotOwner, "not_owner"},
       EnumName<RelayStatus>{RelayStatus::StaleConfiguration,
-                           "stale_configuration"},
+                            "stale_configuration"},
       EnumName<RelayStatus>{RelayStatus::Cold, "cold"},
       EnumName<RelayStatus>{RelayStatus::QueueFull, "queue_full"},
       EnumName<RelayStatus>{RelayStatus::LeafOut, "leaf_out"},
       EnumName<RelayStatus>{RelayStatus::Draining, "draining"},
       EnumName<RelayStatus>{RelayStatus::Shed, "shed"},
       EnumName<RelayStatus>{RelayStatus::VersionNotOffered,
-                           "version_not_offered"},
+                            "version_not_offered"},
       EnumName<RelayStatus>{RelayStatus::ConnectFailed, "connect_failed"},
       EnumName<RelayStatus>{RelayStatus::DeadlineBeforeSend,
-                           "deadline_before_send"},
+                            "deadline_before_send"},
       EnumName<RelayStatus>{RelayStatus::MayHaveRun, "may_have_run"}};
 };
 
@@ -105,7 +108,8 @@
   std::string m_Body;
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(m_Item, m_Status, m_HttpStatus, m_Snapshot, m_Offered, m_LeafTime, m_QueueTime, m_BootId, m_Report, m_RetryAfter, m_Holder, m_Body);
+    Ar(m_Item, m_Status, m_HttpStatus, m_Snapshot, m_Offered, m_LeafTime,
+       m_QueueTime, m_BootId, m_Report, m_RetryAfter, m_Holder, m_Body);
   }
 };
 
@@ -114,7 +118,9 @@
   std::uint64_t m_RelayId = 0;
   std::vector<std::uint32_t> m_Items;
 
-  template <class Archive> void serialize(Archive &Ar) { Ar(m_RelayId, m_Items); }
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_RelayId, m_Items);
+  }
 };
 
 /// Whether the status proves that the request did not run at the leaf.
--- a/src/ragwortdrift/node/leaf_connections.cpp
+++ b/src/ragwortdrift/node/leaf_connections.cpp
@@ -8,8 +8,7 @@
 
 namespace {
 
-/// A new connection costs a leaf up to 6 ms; one that takes far longer is taken
-/// for lost.
+/// A new connection costs a leaf up to 6 ms; one that takes far longer is lost.
 constexpr std::chrono::milliseconds ConnectTimeout{250};
 
 } // namespace
@@ -25,7 +24,8 @@
   auto Pending = std::make_shared<Call>();
   Pending->m_Callback = std::move(Fn);
   if (auto Idle = takeIdle()) {
-    Pending->m_Connection = std::move(Idle);
+    Pending->m_Connection = std::move(Idle->m_Connection);
+    Pending->m_OpenedAt = Idle->m_OpenedAt;
     run(Pending, std::move(Request), Timeout);
     return Pending;
   }
@@ -40,75 +40,79 @@
   auto Connection = std::make_shared<HttpClientConnection>(m_Io);
   m_Connections.push_back(Connection);
   Pending->m_Connection = Connection;
-  Connection->connect(
-      m_Address.m_Ip, m_Address.m_Port,
-      std::min<Duration>(ConnectTimeout, Timeout),
-      [Self = shared_from_this(), Pending, Connection,
-       Request = std::move(Request),
-       Timeout](const Result<Done, HttpError> &Outcome) mutable {
-        if (isOk(Outcome) && Pending->m_Callback) {
-          Self->run(Pending, std::move(Request), Timeout);
-          return;
-        }
-        if (isOk(Outcome)) {
-          Self->m_Idle.push_back(Connection);
-          return;
-        }
-        Self->forget(Connection);
-        if (auto Callback = std::exchange(Pending->m_Callback, nullptr))
-          Callback(errorOf(Outcome));
-      });
+  auto OnConnect = [Self = shared_from_this(), Pending, Connection,
+                    Request = std::move(Request),
+                    Timeout](const Result<Done, HttpError> &Outcome) mutable {
+    if (!isOk(Outcome)) {
+      Self->forget(Connection);
+      if (auto Callback = std::exchange(Pending->m_Callback, nullptr))
+        Callback(errorOf(Outcome));
+      return;
+    }
+    Pending->m_OpenedAt = Self->m_Timers.now();
+    if (Pending->m_Callback)
+      Self->run(Pending, std::move(Request), Timeout);
+    else
+      Self->forget(Connection);
+  };
+  Connection->connect(m_Address.m_Ip, m_Address.m_Port,
+                      std::min<Duration>(ConnectTimeout, Timeout),
+                      std::move(OnConnect));
   return Pending;
 }
 
 void LeafConnections::run(const std::shared_ptr<Call> &Pending,
                           HttpRequest Request, Duration Timeout) {
   auto Connection = Pending->m_Connection;
-  Connection->send(std::move(Request), Timeout,
-                   [Self = shared_from_this(), Pending,
-                    Connection](Result<HttpResponse, HttpError> Outcome) {
-                     Pending->m_Connection = nullptr;
-                     if (Connection->usable())
-                       Self->m_Idle.push_back(Connection);
-                     else
-                       Self->forget(Connection);
-                     if (auto Callback =
-                             std::exchange(Pending->m_Callback, nullptr))
-                       Callback(std::move(Outcome));
-                   });
+  Connection->send(
+      std::move(Request), Timeout,
+      [Self = shared_from_this(), Pending,
+       Connection](Result<HttpResponse, HttpError> Outcome) {
+        Pending->m_Connection = nullptr;
+        if (Connection->usable())
+          Self->m_Idle.push_back({Connection, *Pending->m_OpenedAt});
+        else
+          Self->forget(Connection);
+        if (auto Callback = std::exchange(Pending->m_Callback, nullptr))
+          Callback(std::move(Outcome));
+      });
 }
 
 void LeafConnections::warm(std::size_t Count) {
-  while (m_Connections.size() < std::min(Count, m_MaxConnections)) {
+  while (m_Idle.size() + m_Warming < Count &&
+         m_Connections.size() < m_MaxConnections) {
     auto Connection = std::make_shared<HttpClientConnection>(m_Io);
     m_Connections.push_back(Connection);
-    Connection->connect(m_Address.m_Ip, m_Address.m_Port, ConnectTimeout,
-                        [Self = shared_from_this(),
-                         Connection](const Result<Done, HttpError> &Outcome) {
-                          if (isOk(Outcome))
-                            Self->m_Idle.push_back(Connection);
-                          else
-                            Self->forget(Connection);
-                        });
+    ++m_Warming;
+    Connection->connect(
+        m_Address.m_Ip, m_Address.m_Port, ConnectTimeout,
+        [Self = shared_from_this(),
+         Connection](const Result<Done, HttpError> &Outcome) {
+          --Self->m_Warming;
+          if (isOk(Outcome))
+            Self->m_Idle.push_back({Connection, Self->m_Timers.now()});
+          else
+            Self->forget(Connection);
+        });
   }
 }
 
 void LeafConnections::dropIdle() {
-  for (const auto &Connection : std::exchange(m_Idle, {})) {
-    Connection->close();
-    forget(Connection);
+  for (const Open &Idle : std::exchange(m_Idle, {})) {
+    Idle.m_Connection->close();
+    forget(Idle.m_Connection);
   }
 }
 
-std::shared_ptr<HttpClientConnection> LeafConnections::takeIdle() {
+std::optional<LeafConnections::Open> LeafConnections::takeIdle() {
   while (!m_Idle.empty()) {
-    auto Connection = std::move(m_Idle.back());
+    Open Last = std::move(m_Idle.back());
     m_Idle.pop_back();
-    if (Connection->usable())
-      return Connection;
-    forget(Connection);
+    if (Last.m_Connection->usable())
+      return Last;
+    forget(Last.m_Connection);
   }
-  return nullptr;
+  return std::nullopt;
 }
 
 void LeafConnections::forget(
