--- a/include/ragwortdrift/base/state_chart.hpp
+++ b/include/ragwortdrift/base/state_chart.hpp
@@ -18,6 +18,7 @@
   Syntax,
   UnknownSection,
   UnknownKey,
+  DuplicateKey,
   MissingStart,
   MissingEvents,
   DuplicateState,
@@ -37,6 +38,7 @@
       EnumName<ChartErrorCode>{ChartErrorCode::UnknownSection,
                                "unknown_section"},
       EnumName<ChartErrorCode>{ChartErrorCode::UnknownKey, "unknown_key"},
+      EnumName<ChartErrorCode>{ChartErrorCode::DuplicateKey, "duplicate_key"},
       EnumName<ChartErrorCode>{ChartErrorCode::MissingStart, "missing_start"},
       EnumName<ChartErrorCode>{ChartErrorCode::MissingEvents, "missing_events"},
       EnumName<ChartErrorCode>{ChartErrorCode::DuplicateState,
@@ -101,10 +103,11 @@
 };
 
 namespace detail {
-/// Compares a chart's names with those of an enum's name table.
+/// Compares a chart's names with those of an enum's name table. A fault of a
+/// state stands in the section [state NAME], one of an event at the key NAME.
+enum class NameRole { State, Event };
 void checkNames(const std::vector<std::string> &Found,
-                const std::vector<std::string_view> &Wanted,
-                std::string_view Section, std::string_view Key,
+                const std::vector<std::string_view> &Wanted, NameRole Role,
                 std::vector<ChartError> &Errors);
 
 template <NamedEnum E> std::vector<std::string_view> tableNames() {
@@ -122,10 +125,10 @@
   static Result<BoundChart, std::vector<ChartError>>
   bind(const StateChart &Chart) {
     std::vector<ChartError> Errors;
-    detail::checkNames(Chart.states(), detail::tableNames<State>(), "state", "",
-                       Errors);
-    detail::checkNames(Chart.events(), detail::tableNames<Event>(), "chart",
-                       "events", Errors);
+    detail::checkNames(Chart.states(), detail::tableNames<State>(),
+                       detail::NameRole::State, Errors);
+    detail::checkNames(Chart.events(), detail::tableNames<Event>(),
+                       detail::NameRole::Event, Errors);
     if (!Errors.empty())
       return Errors;
     BoundChart Bound;
--- /dev/null
+++ b/src/ragwortdrift/base/log_test.cpp
@@ -0,0 +1,150 @@
+#include "ragwortdrift/base/log.hpp"
+
+#include <boost/json/parse.hpp>
+
+#include <cstdlib>
+#include <fstream>
+#include <random>
+#include <string>
+#include <unistd.h>
+
+// Last, because Criterion defines the macro Test.
+#include "ragwortdrift/testing/table.hpp"
+
+using namespace ragwortdrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A log file of its own for each test process.
+struct LogFile {
+  std::filesystem::path m_Path =
+      std::filesystem::temp_directory_path() /
+      ("ragwortdrift_log_test_" + std::to_string(::getpid()));
+  LogFile() = default;
+  LogFile(const LogFile &) = delete;
+  LogFile &operator=(const LogFile &) = delete;
+  ~LogFile() { std::filesystem::remove(m_Path); }
+
+  std::vector<std::string> lines() const {
+    std::vector<std::string> Lines;
+    std::ifstream In(m_Path);
+    for (std::string Line; std::getline(In, Line);)
+      Lines.push_back(Line);
+    return Lines;
+  }
+};
+
+struct FormatCase {
+  const char *m_Name;
+  LogField m_Field;
+  const char *m_Text;
+  const char *m_Json;
+};
+
+const FormatCase FormatCases[] = {
+    {"word", {"leaf", "a1"}, "leaf=a1", R"("leaf":"a1")"},
+    {"text with a space", {"why", "a b"}, R"(why="a b")", R"("why":"a b")"},
+    {"quote and line break",
+     {"why", "a\"\nb"},
+     R"(why="a\"\nb")",
+     R"("why":"a\"\nb")"},
+    {"empty text", {"why", ""}, R"(why="")", R"("why":"")"},
+    {"signed", {"n", -3}, "n=-3", R"("n":-3)"},
+    {"unsigned",
+     {"n", 18446744073709551615ULL},
+     "n=18446744073709551615",
+     R"("n":18446744073709551615)"},
+    {"truth value", {"hedge", true}, "hedge=true", R"("hedge":true)"},
+    {"duration",
+     {"wait_ms", Duration{1500}},
+     "wait_ms=1.5",
+     R"("wait_ms":1.5)"},
+    {"strong id", {"rev", Revision{7}}, "rev=7", R"("rev":7)"},
+    {"enumerator",
+     {"level", LogSeverity::Error},
+     "level=error",
+     R"("level":"error")"},
+};
+
+} // namespace
+
+// Guards against fields that a reader of the log cannot parse back.
+TABLE_TEST(log, formats_typed_fields, FormatCases) {
+  const LogFile File;
+  cr_assert(isOk(startLogging({LogSeverity::Info, false, File.m_Path})));
+  logEvent(LogSeverity::Info, "probe", {Row.m_Field});
+  cr_assert(isOk(startLogging({LogSeverity::Info, true, File.m_Path})));
+  logEvent(LogSeverity::Info, "probe", {Row.m_Field});
+  const auto Lines = File.lines();
+  cr_assert_eq(Lines.size(), 2, "%s", Row.m_Name);
+  cr_assert(Lines[0].starts_with("time=2"), "%s", Lines[0].c_str());
+  cr_assert(
+      Lines[0].ends_with(std::string("level=info event=probe ") + Row.m_Text),
+      "%s", Lines[0].c_str());
+  boost::json::error_code Error;
+  boost::json::parse(Lines[1], Error);
+  cr_assert(!Error, "%s", Lines[1].c_str());
+  cr_assert(Lines[1].find(Row.m_Json) != std::string::npos, "%s",
+            Lines[1].c_str());
+}
+
+// Guards against a level that hides warnings or lets debug lines through.
+Test(log, keeps_lines_from_the_level_on) {
+  const LogFile File;
+  cr_assert(isOk(startLogging({LogSeverity::Warning, false, File.m_Path})));
+  logEvent(LogSeverity::Info, "hidden");
+  logEvent(LogSeverity::Warning, "shown");
+  logEvent(LogSeverity::Error, "shown");
+  cr_assert_eq(File.lines().size(), 2);
+}
+
+// Guards against a daemon that runs without its log.
+Test(log, reports_a_file_that_cannot_be_opened) {
+  const auto Started =
+      startLogging({LogSeverity::Info, false, "/nonexistent/folder/log"});
+  cr_assert(!isOk(Started));
+  cr_assert_eq(errorOf(Started).m_Code, LogErrorCode::CannotOpenFile);
+}
+
+// Guards against decision lines that are dropped without being counted, and
+// against more lines than the bound in a second.
+Test(log, counts_every_line_it_leaves_out) {
+  for (const unsigned Seed : {1U, 2U, 3U}) {
+    std::mt19937 Random(Seed);
+    LogRateBound Bound(200);
+    std::uint64_t Offered = 0, Written = 0, LeftOut = 0;
+    TimePoint Now;
+    for (int Second = 0; Second < 20; ++Second) {
+      const unsigned Lines = Random() % 1000;
+      std::uint64_t InSecond = 0;
+      for (unsigned I = 0; I < Lines; ++I)
+        InSecond += Bound.admit(Now, "replica_chosen") ? 1 : 0;
+      cr_assert_leq(InSecond, 200, "seed %u", Seed);
+      Offered += Lines;
+      Written += InSecond;
+      for (const auto &Entry : Bound.takeLeftOut())
+        LeftOut += Entry.m_Count;
+      Now = Now + 1s;
+    }
+    cr_assert_eq(Written + LeftOut, Offered, "seed %u", Seed);
+  }
+}
+
+// Guards against a bound that one busy event takes from the others, and a count
+// that is not written.
+Test(log, bounds_each_event_and_logs_the_rest) {
+  const LogFile File;
+  cr_assert(isOk(startLogging({LogSeverity::Info, false, File.m_Path})));
+  {
+    DecisionLog Log(2);
+    for (int I = 0; I < 5; ++I)
+      Log.write(TimePoint{}, "hedge_sent", {{"group", "g1"}});
+    Log.write(TimePoint{}, "leaf_ejected", {{"leaf", "a1"}});
+  }
+  const auto Lines = File.lines();
+  cr_assert_eq(Lines.size(), 4);
+  cr_assert(Lines[2].find("event=leaf_ejected") != std::string::npos);
+  cr_assert(Lines[3].find("event=decisions_left_out of=hedge_sent count=3") !=
+            std::string::npos);
+}
