--- /dev/null
+++ b/src/ragwortdrift/net/peer_client.cpp
@@ -0,0 +1,502 @@
+#include "ragwortdrift/net/peer_client.hpp"
+
+#include "peer_session.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace ragwortdrift {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr Duration ConnectTimeout{1'000'000};
+/// Wait after a failed connection; it doubles up to the maximum.
+constexpr Duration FirstBackoff{50'000};
+constexpr Duration MaxBackoff{1'000'000};
+/// A connection without calls is closed after this, so that PINGs to peers
+/// that are asked rarely (gossip) do not add up.
+constexpr Duration IdleLimit{10'000'000};
+/// A connection takes no new calls above this stream id (of 2^31 - 1).
+constexpr std::int32_t LastStreamForNewCalls = 0x7f000000;
+
+using Address = std::pair<std::string, std::uint16_t>;
+
+class ClientSession;
+using CallPtr = std::shared_ptr<detail::PeerCallState>;
+
+} // namespace
+
+struct detail::PeerCallState : std::enable_shared_from_this<PeerCallState> {
+  std::string m_Path;
+  std::string m_Body;
+  PeerClient::OnMessage m_OnMessage;
+  PeerClient::OnDone m_OnDone;
+  TimerService::Subscription m_Deadline;
+  std::weak_ptr<ClientSession> m_Session;
+  std::int32_t m_Stream = 0;
+  PeerRecordContext m_Context;
+  PeerRecordReader m_Reader;
+  std::uint64_t m_NextIndex = 0;
+  std::size_t m_OutOffset = 0;
+  /// What the call counts in its connection's unsent bytes: the whole record
+  /// until its last byte was sent, so that the receiver's limit on partial
+  /// records is not reached by requests that this limit accepts.
+  std::size_t m_Unsent = 0;
+  bool m_HeadersSent = false;
+  bool m_Ended = false;
+
+  void end(Result<Done, PeerError> Outcome) {
+    if (m_Ended)
+      return;
+    const auto Keep = shared_from_this();
+    const auto Fn = std::move(m_OnDone);
+    release();
+    Fn(std::move(Outcome));
+  }
+  /// Ends the call without a callback. Also drops what the callbacks hold, so
+  /// that a callback may own its call.
+  void release() {
+    m_Ended = true;
+    m_Deadline.reset();
+    m_OnMessage = nullptr;
+    m_OnDone = nullptr;
+  }
+  void deliver(std::string Message) {
+    if (m_Ended)
+      return;
+    // The callback may end the call, which drops the function.
+    auto Fn = std::move(m_OnMessage);
+    Fn(std::move(Message));
+    if (!m_Ended)
+      m_OnMessage = std::move(Fn);
+  }
+  void cancel(std::uint32_t Code);
+};
+
+class PeerClient::Impl : public std::enable_shared_from_this<Impl> {
+public:
+  Impl(asio::io_context &Io, TimerService &Timers, PeerKey Key, VmId Self,
+       PeerLimits Limits)
+      : m_Io(Io), m_Timers(Timers), m_Key(Key), m_Self(std::move(Self)),
+        m_Limits(Limits) {}
+
+  void place(const CallPtr &Call, const Address &To);
+  void endLater(const CallPtr &Call, PeerError Error);
+  void shutdown();
+
+  struct Peer {
+    std::shared_ptr<ClientSession> m_Session;
+    Duration m_Backoff{0};
+    TimePoint m_NextTry;
+  };
+
+  asio::io_context &m_Io;
+  TimerService &m_Timers;
+  const PeerKey m_Key;
+  const VmId m_Self;
+  const PeerLimits m_Limits;
+  std::map<Address, Peer> m_Peers;
+  /// Sessions that take no new calls and end with their last one.
+  std::vector<std::shared_ptr<ClientSession>> m_Retired;
+  bool m_Stopped = false;
+};
+
+namespace {
+
+class ClientSession : public detail::PeerSession {
+public:
+  ClientSession(const std::shared_ptr<PeerClient::Impl> &Client, Address To)
+      : PeerSession(tcp::socket(Client->m_Io), Client->m_Timers, Role::Client,
+                    Client->m_Limits),
+        m_Client(Client), m_Address(std::move(To)) {}
+
+  void connect();
+  bool takesCalls() const {
+    return !isClosed() && !m_Draining &&
+           nghttp2_session_get_next_stream_id(m_Session.get()) <
+               static_cast<std::uint32_t>(LastStreamForNewCalls);
+  }
+  bool add(const CallPtr &Call);
+  void drop(const CallPtr &Call, std::uint32_t Code);
+  const Address &address() const { return m_Address; }
+
+protected:
+  void onHeader(std::int32_t Id, std::string_view Name,
+                std::string_view Value) override;
+  void onData(std::int32_t Id, std::string_view Bytes) override;
+  void onEndStream(std::int32_t) override {}
+  void onStreamClosed(std::int32_t Id, std::uint32_t Code) override;
+  void onHeadersSent(std::int32_t Id) override;
+  void onNonce(std::string_view Nonce) override;
+  void onGoaway() override { m_Draining = true; }
+  void onTick() override;
+  void onClosed(PeerErrorCode Reason) override;
+  ssize_t onRead(std::int32_t Id, std::uint8_t *Buffer, std::size_t Length,
+                 bool &Eof) override;
+
+private:
+  void submit(const CallPtr &Call);
+  void setUnsent(detail::PeerCallState &Call, std::size_t Bytes) {
+    m_UnsentBytes += Bytes - Call.m_Unsent;
+    Call.m_Unsent = Bytes;
+  }
+  void fail(const CallPtr &Call, PeerErrorCode Code, std::uint32_t Reset);
+
+  std::weak_ptr<PeerClient::Impl> m_Client;
+  const Address m_Address;
+  TimerService::Subscription m_ConnectTimer;
+  bool m_HasNonce = false;
+  bool m_Draining = false;
+  PeerNonce m_ServerNonce{};
+  TimePoint m_LastUsed;
+  /// Calls that wait for the connection's nonce.
+  std::vector<CallPtr> m_Waiting;
+  std::map<std::int32_t, CallPtr> m_Calls;
+};
+
+void ClientSession::connect() {
+  const auto Self = std::static_pointer_cast<ClientSession>(shared_from_this());
+  m_LastUsed = m_Timers.now();
+  m_ConnectTimer = m_Timers.after(
+      ConnectTimeout, [Weak = std::weak_ptr<ClientSession>(Self)] {
+        if (const auto Session = Weak.lock())
+          Session->close(PeerErrorCode::ConnectFailed);
+      });
+  boost::system::error_code Error;
+  const auto Ip = asio::ip::make_address(m_Address.first, Error);
+  if (Error) {
+    asio::post(m_Socket.get_executor(),
+               [Self] { Self->close(PeerErrorCode::ConnectFailed); });
+    return;
+  }
+  m_Socket.async_connect(tcp::endpoint(Ip, m_Address.second),
+                         [Self](boost::system::error_code Failed) {
+                           if (Self->isClosed())
+                             return;
+                           if (Failed)
+                             return Self->close(PeerErrorCode::ConnectFailed);
+                           Self->startIo();
+                         });
+}
+
+bool ClientSession::add(const CallPtr &Call) {
+  if (m_Calls.size() + m_Waiting.size() >= m_Limits.m_MaxStreams ||
+      m_UnsentBytes + Call->m_Body.size() > m_Limits.m_MaxUnsentBytes)
+    return false;
+  m_LastUsed = m_Timers.now();
+  setUnsent(*Call, Call->m_Body.size());
+  Call->m_Session = std::static_pointer_cast<ClientSession>(shared_from_this());
+  if (m_HasNonce)
+    submit(Call);
+  else
+    m_Waiting.push_back(Call);
+  return true;
+}
+
+void ClientSession::submit(const CallPtr &Call) {
+  const auto Client = m_Client.lock();
+  if (!Client || Call->m_Ended)
+    return;
+  PeerRecordContext &Context = Call->m_Context;
+  Context.m_ServerNonce = m_ServerNonce;
+  Context.m_ClientNonce = randomNonce();
+  Context.m_Stream = static_cast<std::int32_t>(
+      nghttp2_session_get_next_stream_id(m_Session.get()));
+  Context.m_Path = Call->m_Path;
+  Context.m_Sender = Client->m_Self;
+  Call->m_Body = sealRecord(Client->m_Key, Context, PeerRecordKind::Request, 0,
+                            Call->m_Body);
+  setUnsent(*Call, Call->m_Body.size());
+  Call->m_Stream = Context.m_Stream;
+  const std::string Nonce = nonceToHex(Context.m_ClientNonce);
+  const std::array Headers{
+      detail::makeHeader(":method", "POST"),
+      detail::makeHeader(":scheme", "http"),
+      detail::makeHeader(":authority", "peer"),
+      detail::makeHeader(":path", Call->m_Path),
+      detail::makeHeader("rd-from", Client->m_Self.m_Value),
+      detail::makeHeader("rd-nonce", Nonce)};
+  const nghttp2_data_provider Provider = bodyProvider();
+  const std::int32_t Id =
+      nghttp2_submit_request(m_Session.get(), nullptr, Headers.data(),
+                             Headers.size(), &Provider, nullptr);
+  m_Calls[Call->m_Stream] = Call;
+  if (Id != Call->m_Stream)
+    fail(Call, PeerErrorCode::Protocol, NGHTTP2_INTERNAL_ERROR);
+  schedulePump();
+}
+
+/// Removes a call; its stream is reset unless it has ended.
+void ClientSession::drop(const CallPtr &Call, std::uint32_t Code) {
+  std::erase(m_Waiting, Call);
+  setUnsent(*Call, 0);
+  Call->m_Body.clear();
+  Call->m_OutOffset = 0;
+  if (m_Calls.erase(Call->m_Stream) != 0)
+    resetStream(Call->m_Stream, Code);
+  m_LastUsed = m_Timers.now();
+}
+
+void ClientSession::fail(const CallPtr &Call, PeerErrorCode Code,
+                         std::uint32_t Reset) {
+  drop(Call, Reset);
+  defer([Call, Code] { Call->end(PeerError{Code, Call->m_HeadersSent}); });
+}
+
+void ClientSession::onHeader(std::int32_t Id, std::string_view Name,
+                             std::string_view Value) {
+  const auto It = m_Calls.find(Id);
+  if (It != m_Calls.end() && Name == "rd-from")
+    It->second->m_Context.m_Sender = VmId(std::string(Value));
+}
+
+void ClientSession::onData(std::int32_t Id, std::string_view Bytes) {
+  const auto It = m_Calls.find(Id);
+  const auto Client = m_Client.lock();
+  if (It == m_Calls.end() || !Client)
+    return;
+  const CallPtr Call = It->second;
+  Call->m_Reader.append(Bytes);
+  for (;;) {
+    auto Next = Call->m_Reader.next();
+    if (!isOk(Next))
+      return fail(Call,
+                  errorOf(Next) == PeerRecordErrorCode::TooLarge
+                      ? PeerErrorCode::TooLarge
+                      : PeerErrorCode::Protocol,
+                  NGHTTP2_PROTOCOL_ERROR);
+    auto &Record = valueOf(Next);
+    if (!Record)
+      return;
+    if (!verifyRecord(Client->m_Key, Call->m_Context, Call->m_NextIndex++,
+                      *Record))
+      return fail(Call, PeerErrorCode::BadMac, NGHTTP2_INADEQUATE_SECURITY);
+    if (Record->m_Kind == PeerRecordKind::Finish) {
+      // The end of the stream follows by itself, so no reset is sent.
+      m_Calls.erase(Call->m_Stream);
+      drop(Call, NGHTTP2_NO_ERROR);
+      defer([Call] { Call->end(Done{}); });
+      return;
+    }
+    if (Record->m_Kind != PeerRecordKind::Message)
+      return fail(Call, PeerErrorCode::Protocol, NGHTTP2_PROTOCOL_ERROR);
+    defer([Call, Body = std::move(Record->m_Body)]() mutable {
+      Call->deliver(std::move(Body));
+    });
+  }
+}
+
+void ClientSession::onStreamClosed(std::int32_t Id, std::uint32_t Code) {
+  const auto It = m_Calls.find(Id);
+  if (It == m_Calls.end())
+    return;
+  const CallPtr Call = It->second;
+  m_Calls.erase(It);
+  drop(Call, Code);
+  PeerError Error{PeerErrorCode::Refused, Call->m_HeadersSent};
+  switch (Code) {
+  case NGHTTP2_REFUSED_STREAM:
+    Error.m_MaybeSent = false;
+    break;
+  case NGHTTP2_ENHANCE_YOUR_CALM:
+    Error.m_Code = PeerErrorCode::TooLarge;
+    break;
+  case NGHTTP2_INADEQUATE_SECURITY:
+    Error = {PeerErrorCode::BadMac, false};
+    break;
+  case NGHTTP2_NO_ERROR:
+  case NGHTTP2_PROTOCOL_ERROR:
+    // The stream ended without a Finish record, or the peer saw a fault.
+    Error.m_Code = PeerErrorCode::Protocol;
+    break;
+  default:
+    break;
+  }
+  defer([Call, Error] { Call->end(Error); });
+}
+
+void ClientSession::onHeadersSent(std::int32_t Id) {
+  if (const auto It = m_Calls.find(Id); It != m_Calls.end())
+    It->second->m_HeadersSent = true;
+}
+
+void ClientSession::onNonce(std::string_view Nonce) {
+  if (m_HasNonce || Nonce.size() != m_ServerNonce.size()) {
+    defer([this] { close(PeerErrorCode::Protocol); });
+    return;
+  }
+  std::ranges::copy(Nonce, m_ServerNonce.begin());
+  m_HasNonce = true;
+  m_ConnectTimer.reset();
+  defer([this] {
+    if (const auto Client = m_Client.lock())
+      Client->m_Peers[m_Address].m_Backoff = Duration{0};
+    const auto Waiting = std::move(m_Waiting);
+    m_Waiting.clear();
+    for (const CallPtr &Call : Waiting)
+      submit(Call);
+  });
+}
+
+void ClientSession::onTick() {
+  const bool Unused = m_Calls.empty() && m_Waiting.empty();
+  if (Unused && (m_Draining || m_Timers.now() - m_LastUsed >= IdleLimit))
+    return close(PeerErrorCode::ConnectionLost);
+  nghttp2_submit_ping(m_Session.get(), NGHTTP2_FLAG_NONE, nullptr);
+  schedulePump();
+}
+
+void ClientSession::onClosed(PeerErrorCode Reason) {
+  m_ConnectTimer.reset();
+  const auto Client = m_Client.lock();
+  const auto Self = std::static_pointer_cast<ClientSession>(shared_from_this());
+  if (Client) {
+    std::erase(Client->m_Retired, Self);
+    const auto It = Client->m_Peers.find(m_Address);
+    if (It != Client->m_Peers.end() && It->second.m_Session == Self) {
+      It->second.m_Session.reset();
+      if (!m_HasNonce) {
+        It->second.m_Backoff =
+            std::clamp(It->second.m_Backoff * 2, FirstBackoff, MaxBackoff);
+        It->second.m_NextTry = m_Timers.now() + It->second.m_Backoff;
+      }
+    }
+  }
+  const auto Waiting = std::move(m_Waiting);
+  const auto Calls = std::move(m_Calls);
+  m_Waiting.clear();
+  m_Calls.clear();
+  if (!Client || Client->m_Stopped) {
+    clearEvents();
+    return;
+  }
+  for (const CallPtr &Call : Waiting)
+    Call->end(
+        PeerError{m_HasNonce ? Reason : PeerErrorCode::ConnectFailed, false});
+  for (const auto &[Id, Call] : Calls)
+    Call->end(PeerError{Reason, Call->m_HeadersSent});
+}
+
+ssize_t ClientSession::onRead(std::int32_t Id, std::uint8_t *Buffer,
+                              std::size_t Length, bool &Eof) {
+  const auto It = m_Calls.find(Id);
+  if (It == m_Calls.end())
+    return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+  detail::PeerCallState &Call = *It->second;
+  const std::size_t Size =
+      detail::takeBytes(Call.m_Body, Call.m_OutOffset, Buffer, Length);
+  Eof = Call.m_Body.empty();
+  if (Eof)
+    setUnsent(Call, 0);
+  return static_cast<ssize_t>(Size);
+}
+
+} // namespace
+
+void detail::PeerCallState::cancel(std::uint32_t Code) {
+  if (m_Ended)
+    return;
+  const auto Keep = shared_from_this();
+  release();
+  if (const auto Session = m_Session.lock(); Session && !Session->isClosed())
+    Session->drop(shared_from_this(), Code);
+}
+
+void PeerClient::Impl::endLater(const CallPtr &Call, PeerError Error) {
+  asio::post(m_Io, [Weak = weak_from_this(), Call, Error] {
+    const auto Self = Weak.lock();
+    if (Self && !Self->m_Stopped)
+      Call->end(Error);
+  });
+}
+
+void PeerClient::Impl::place(const CallPtr &Call, const Address &To) {
+  Peer &Entry = m_Peers[To];
+  if (Entry.m_Session && !Entry.m_Session->takesCalls()) {
+    m_Retired.push_back(Entry.m_Session);
+    Entry.m_Session.reset();
+  }
+  if (!Entry.m_Session) {
+    if (m_Timers.now() < Entry.m_NextTry)
+      return endLater(Call, {PeerErrorCode::ConnectFailed, false});
+    Entry.m_Session = std::make_shared<ClientSession>(shared_from_this(), To);
+    Entry.m_Session->connect();
+  }
+  if (!Entry.m_Session->add(Call))
+    endLater(Call, {PeerErrorCode::Refused, false});
+}
+
+void PeerClient::Impl::shutdown() {
+  m_Stopped = true;
+  auto Sessions = m_Retired;
+  for (const auto &[To, Entry] : m_Peers)
+    if (Entry.m_Session)
+      Sessions.push_back(Entry.m_Session);
+  for (const auto &Session : Sessions)
+    Session->close(PeerErrorCode::ConnectionLost);
+}
+
+PeerCall &PeerCall::operator=(PeerCall &&Other) noexcept {
+  if (this != &Other) {
+    cancel();
+    m_State = std::move(Other.m_State);
+  }
+  return *this;
+}
+
+void PeerCall::cancel() {
+  if (m_State)
+    m_State->cancel(NGHTTP2_CANCEL);
+  m_State.reset();
+}
+
+bool PeerCall::isOpen() const { return m_State && !m_State->m_Ended; }
+
+PeerClient::PeerClient(asio::io_context &Io, TimerService &Timers, PeerKey Key,
+                       VmId Self, PeerLimits Limits)
+    : m_Impl(std::make_shared<Impl>(Io, Timers, Key, std::move(Self), Limits)) {
+}
+
+PeerClient::~PeerClient() { m_Impl->shutdown(); }
+
+PeerCall PeerClient::open(const std::string &Ip, std::uint16_t Port,
+                          std::string Path, std::string Body, Duration Deadline,
+                          OnMessage OnMsg, OnDone OnEnd) {
+  auto Call = std::make_shared<detail::PeerCallState>();
+  Call->m_Path = std::move(Path);
+  Call->m_Body = std::move(Body);
+  Call->m_OnMessage = std::move(OnMsg);
+  Call->m_OnDone = std::move(OnEnd);
+  Call->m_Deadline = m_Impl->m_Timers.after(
+      Deadline, [Weak = std::weak_ptr(Call), Client = std::weak_ptr(m_Impl)] {
+        const auto Late = Weak.lock();
+        const auto Owner = Client.lock();
+        if (!Late || Late->m_Ended || !Owner || Owner->m_Stopped)
+          return;
+        const PeerError Error{PeerErrorCode::Deadline, Late->m_HeadersSent};
+        const auto OnDone = std::move(Late->m_OnDone);
+        Late->cancel(NGHTTP2_CANCEL);
+        OnDone(Error);
+      });
+  if (Call->m_Body.size() > MaxPeerMessageBytes)
+    m_Impl->endLater(Call, {PeerErrorCode::TooLarge, false});
+  else
+    m_Impl->place(Call, {Ip, Port});
+  return PeerCall(std::move(Call));
+}
+
+std::size_t PeerClient::connections() const {
+  return m_Impl->m_Retired.size() +
+         static_cast<std::size_t>(
+             std::ranges::count_if(m_Impl->m_Peers, [](const auto &Entry) {
+               return Entry.second.m_Session != nullptr;
+             }));
+}
+
+} // namespace ragwortdrift
--- /dev/null
+++ b/src/ragwortdrift/net/peer_server.cpp
@@ -0,0 +1,391 @@
+#include "ragwortdrift/net/peer_server.hpp"
+
+#include "peer_session.hpp"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace ragwortdrift {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t MaxPathBytes = 256;
+constexpr std::size_t MaxIdBytes = 128;
+/// Accepting is retried after this when the process is out of descriptors.
+constexpr Duration AcceptRetry{100'000};
+
+class ServerSession;
+
+} // namespace
+
+class PeerServer::Impl : public std::enable_shared_from_this<Impl> {
+public:
+  Impl(asio::io_context &Io, TimerService &Timers, PeerKey Key, VmId Self,
+       PeerLimits Limits)
+      : m_Timers(Timers), m_Key(Key), m_Self(std::move(Self)), m_Limits(Limits),
+        m_Acceptor(Io) {}
+  void accept();
+  void shutdown();
+
+  TimerService &m_Timers;
+  const PeerKey m_Key;
+  const VmId m_Self;
+  const PeerLimits m_Limits;
+  tcp::acceptor m_Acceptor;
+  TimerService::Subscription m_Retry;
+  std::map<std::string, Handler, std::less<>> m_Handlers;
+  std::set<std::shared_ptr<ServerSession>> m_Sessions;
+  bool m_Stopped = false;
+};
+
+namespace {
+
+class ServerSession : public detail::PeerSession {
+public:
+  ServerSession(tcp::socket Socket, std::shared_ptr<PeerServer::Impl> Server)
+      : PeerSession(std::move(Socket), Server->m_Timers, Role::Server,
+                    Server->m_Limits),
+        m_Server(Server), m_Nonce(randomNonce()) {
+    nghttp2_submit_extension(m_Session.get(), PeerNonceFrameType,
+                             NGHTTP2_FLAG_NONE, 0, &m_Nonce);
+  }
+  void start() { startIo(); }
+
+  bool send(std::int32_t Id, PeerRecordKind Kind, std::string_view Body);
+  void abandon(std::int32_t Id);
+  bool onCancel(std::int32_t Id, std::function<void()> &Callback);
+
+protected:
+  void onHeadersBegin(std::int32_t Id) override { m_Streams[Id]; }
+  void onHeader(std::int32_t Id, std::string_view Name,
+                std::string_view Value) override;
+  void onData(std::int32_t Id, std::string_view Bytes) override;
+  void onEndStream(std::int32_t Id) override;
+  void onStreamClosed(std::int32_t Id, std::uint32_t Code) override;
+  void onClosed(PeerErrorCode Reason) override;
+  ssize_t onRead(std::int32_t Id, std::uint8_t *Buffer, std::size_t Length,
+                 bool &Eof) override;
+
+private:
+  struct Stream {
+    PeerRecordContext m_Context;
+    bool m_HasNonce = false;
+    PeerRecordReader m_Reader;
+    bool m_Started = false;
+    bool m_Finished = false;
+    std::uint64_t m_NextIndex = 0;
+    std::string m_Out;
+    std::size_t m_OutOffset = 0;
+    std::function<void()> m_OnCancel;
+  };
+
+  void refuse(std::int32_t Id, std::uint32_t Code);
+  void forget(std::map<std::int32_t, Stream>::iterator It);
+  void dispatch(std::int32_t Id, const std::string &Body);
+
+  std::weak_ptr<PeerServer::Impl> m_Server;
+  PeerNonce m_Nonce;
+  std::map<std::int32_t, Stream> m_Streams;
+  std::size_t m_PartialBytes = 0;
+};
+
+class ServerResponse : public ResponseStream {
+public:
+  ServerResponse(std::weak_ptr<ServerSession> Session, std::int32_t Id)
+      : m_Session(std::move(Session)), m_Id(Id) {}
+  ServerResponse(const ServerResponse &) = delete;
+  ServerResponse &operator=(const ServerResponse &) = delete;
+  ~ServerResponse() override {
+    if (const auto Session = m_Session.lock())
+      Session->abandon(m_Id);
+  }
+  bool send(std::string Message) override {
+    const auto Session = m_Session.lock();
+    return Session && Session->send(m_Id, PeerRecordKind::Message, Message);
+  }
+  void finish() override {
+    if (const auto Session = m_Session.lock())
+      Session->send(m_Id, PeerRecordKind::Finish, {});
+  }
+  void onCancel(std::function<void()> Callback) override {
+    const auto Session = m_Session.lock();
+    if (!Session || !Session->onCancel(m_Id, Callback))
+      Callback();
+  }
+
+private:
+  std::weak_ptr<ServerSession> m_Session;
+  std::int32_t m_Id;
+};
+
+void ServerSession::refuse(std::int32_t Id, std::uint32_t Code) {
+  if (const auto It = m_Streams.find(Id); It != m_Streams.end())
+    forget(It);
+  resetStream(Id, Code);
+}
+
+void ServerSession::forget(std::map<std::int32_t, Stream>::iterator It) {
+  m_PartialBytes -= It->second.m_Reader.buffered();
+  m_UnsentBytes -= It->second.m_Out.size() - It->second.m_OutOffset;
+  m_Streams.erase(It);
+}
+
+void ServerSession::onHeader(std::int32_t Id, std::string_view Name,
+                             std::string_view Value) {
+  const auto It = m_Streams.find(Id);
+  if (It == m_Streams.end())
+    return;
+  PeerRecordContext &Context = It->second.m_Context;
+  if (Name == ":path") {
+    if (Value.size() > MaxPathBytes)
+      return refuse(Id, NGHTTP2_REFUSED_STREAM);
+    Context.m_Path = Value;
+  } else if (Name == "rd-from") {
+    if (Value.size() > MaxIdBytes)
+      return refuse(Id, NGHTTP2_REFUSED_STREAM);
+    Context.m_Sender = VmId(std::string(Value));
+  } else if (Name == "rd-nonce") {
+    const auto Nonce = nonceFromHex(Value);
+    It->second.m_HasNonce = Nonce.has_value();
+    Context.m_ClientNonce = Nonce.value_or(PeerNonce{});
+  }
+}
+
+void ServerSession::onData(std::int32_t Id, std::string_view Bytes) {
+  const auto It = m_Streams.find(Id);
+  if (It == m_Streams.end())
+    return;
+  PeerRecordReader &Reader = It->second.m_Reader;
+  Reader.append(Bytes);
+  m_PartialBytes += Bytes.size();
+  // A whole request with its header is the most that a stream may send.
+  if (Reader.buffered() > MaxPeerMessageBytes + 64 ||
+      m_PartialBytes > m_Limits.m_MaxPartialBytes)
+    refuse(Id, NGHTTP2_ENHANCE_YOUR_CALM);
+}
+
+void ServerSession::onEndStream(std::int32_t Id) {
+  const auto It = m_Streams.find(Id);
+  if (It == m_Streams.end())
+    return;
+  Stream &Request = It->second;
+  PeerRecordContext &Context = Request.m_Context;
+  Context.m_ServerNonce = m_Nonce;
+  Context.m_Stream = Id;
+  const std::size_t Before = Request.m_Reader.buffered();
+  auto Next = Request.m_Reader.next();
+  m_PartialBytes -= Before - Request.m_Reader.buffered();
+  if (!isOk(Next))
+    return refuse(Id, errorOf(Next) == PeerRecordErrorCode::TooLarge
+                          ? NGHTTP2_ENHANCE_YOUR_CALM
+                          : NGHTTP2_PROTOCOL_ERROR);
+  const std::optional<PeerRecord> &Record = valueOf(Next);
+  if (!Record || Request.m_Reader.buffered() != 0 || !Request.m_HasNonce)
+    return refuse(Id, NGHTTP2_PROTOCOL_ERROR);
+  const auto Server = m_Server.lock();
+  if (!Server || Record->m_Kind != PeerRecordKind::Request ||
+      !verifyRecord(Server->m_Key, Context, 0, *Record))
+    return refuse(Id, NGHTTP2_INADEQUATE_SECURITY);
+  defer([this, Id, Body = Record->m_Body] { dispatch(Id, Body); });
+}
+
+void ServerSession::dispatch(std::int32_t Id, const std::string &Body) {
+  const auto It = m_Streams.find(Id);
+  const auto Server = m_Server.lock();
+  if (It == m_Streams.end() || isClosed() || !Server || Server->m_Stopped)
+    return;
+  PeerRecordContext &Context = It->second.m_Context;
+  const auto Handler = Server->m_Handlers.find(Context.m_Path);
+  if (Handler == Server->m_Handlers.end())
+    return refuse(Id, NGHTTP2_REFUSED_STREAM);
+  PeerRequest Request{Context.m_Sender, Context.m_Path, Body};
+  Context.m_Sender = Server->m_Self;
+  const auto Fn = Handler->second;
+  Fn(std::move(Request),
+     std::make_shared<ServerResponse>(
+         std::static_pointer_cast<ServerSession>(shared_from_this()), Id));
+}
+
+bool ServerSession::send(std::int32_t Id, PeerRecordKind Kind,
+                         std::string_view Body) {
+  const auto It = m_Streams.find(Id);
+  const auto Server = m_Server.lock();
+  if (It == m_Streams.end() || isClosed() || !Server || It->second.m_Finished)
+    return false;
+  Stream &Response = It->second;
+  if (Body.size() > MaxPeerMessageBytes ||
+      m_UnsentBytes + Body.size() > m_Limits.m_MaxUnsentBytes) {
+    refuse(Id, NGHTTP2_ENHANCE_YOUR_CALM);
+    return false;
+  }
+  const std::string Record = sealRecord(Server->m_Key, Response.m_Context, Kind,
+                                        Response.m_NextIndex++, Body);
+  Response.m_Out += Record;
+  m_UnsentBytes += Record.size();
+  Response.m_Finished = Kind == PeerRecordKind::Finish;
+  if (!Response.m_Started) {
+    Response.m_Started = true;
+    const std::array Headers{
+        detail::makeHeader(":status", "200"),
+        detail::makeHeader("rd-from", Server->m_Self.m_Value)};
+    const nghttp2_data_provider Provider = bodyProvider();
+    nghttp2_submit_response(m_Session.get(), Id, Headers.data(), Headers.size(),
+                            &Provider);
+  } else {
+    nghttp2_session_resume_data(m_Session.get(), Id);
+  }
+  schedulePump();
+  return true;
+}
+
+void ServerSession::abandon(std::int32_t Id) {
+  const auto It = m_Streams.find(Id);
+  if (It != m_Streams.end() && !It->second.m_Finished && !isClosed())
+    refuse(Id, NGHTTP2_INTERNAL_ERROR);
+}
+
+bool ServerSession::onCancel(std::int32_t Id, std::function<void()> &Callback) {
+  const auto It = m_Streams.find(Id);
+  if (It == m_Streams.end() || isClosed())
+    return false;
+  It->second.m_OnCancel = std::move(Callback);
+  return true;
+}
+
+void ServerSession::onStreamClosed(std::int32_t Id, std::uint32_t) {
+  const auto It = m_Streams.find(Id);
+  if (It == m_Streams.end())
+    return;
+  const bool Complete = It->second.m_Finished && It->second.m_Out.empty();
+  auto Callback = std::move(It->second.m_OnCancel);
+  forget(It);
+  if (!Complete && Callback)
+    defer([this, Callback = std::move(Callback)] {
+      const auto Server = m_Server.lock();
+      if (Server && !Server->m_Stopped)
+        Callback();
+    });
+}
+
+void ServerSession::onClosed(PeerErrorCode) {
+  const auto Server = m_Server.lock();
+  if (!Server)
+    return;
+  const auto Self = shared_from_this();
+  Server->m_Sessions.erase(std::static_pointer_cast<ServerSession>(Self));
+  if (Server->m_Stopped)
+    clearEvents();
+  auto Streams = std::move(m_Streams);
+  m_Streams.clear();
+  for (auto &[Id, Entry] : Streams)
+    if (Entry.m_OnCancel && !Server->m_Stopped)
+      Entry.m_OnCancel();
+}
+
+ssize_t ServerSession::onRead(std::int32_t Id, std::uint8_t *Buffer,
+                              std::size_t Length, bool &Eof) {
+  const auto It = m_Streams.find(Id);
+  if (It == m_Streams.end())
+    return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+  Stream &Response = It->second;
+  if (Response.m_Out.empty() && !Response.m_Finished)
+    return NGHTTP2_ERR_DEFERRED;
+  const std::size_t Size =
+      detail::takeBytes(Response.m_Out, Response.m_OutOffset, Buffer, Length);
+  m_UnsentBytes -= Size;
+  Eof = Response.m_Out.empty() && Response.m_Finished;
+  return static_cast<ssize_t>(Size);
+}
+
+} // namespace
+
+void PeerServer::Impl::accept() {
+  m_Acceptor.async_accept(
+      [Weak = weak_from_this()](boost::system::error_code Error,
+                                tcp::socket Socket) {
+        const auto Self = Weak.lock();
+        if (!Self || Self->m_Stopped || Error == asio::error::operation_aborted)
+          return;
+        if (Error) {
+          Self->m_Retry = Self->m_Timers.after(AcceptRetry, [Weak] {
+            if (const auto Again = Weak.lock())
+              Again->accept();
+          });
+          return;
+        }
+        if (Self->m_Sessions.size() < Self->m_Limits.m_MaxConnections) {
+          const auto Session =
+              std::make_shared<ServerSession>(std::move(Socket), Self);
+          Self->m_Sessions.insert(Session);
+          Session->start();
+        }
+        Self->accept();
+      });
+}
+
+void PeerServer::Impl::shutdown() {
+  m_Stopped = true;
+  boost::system::error_code Ignored;
+  m_Acceptor.close(Ignored);
+  const auto Sessions = m_Sessions;
+  for (const auto &Session : Sessions)
+    Session->close(PeerErrorCode::ConnectionLost);
+}
+
+PeerServer::PeerServer(asio::io_context &Io, TimerService &Timers, PeerKey Key,
+                       VmId Self, PeerLimits Limits)
+    : m_Impl(std::make_shared<Impl>(Io, Timers, Key, std::move(Self), Limits)) {
+}
+
+PeerServer::~PeerServer() { m_Impl->shutdown(); }
+
+Result<Done, NetError> PeerServer::listen(const std::string &Ip,
+                                          std::uint16_t Port) {
+  boost::system::error_code Error;
+  const auto Fail = [&](NetErrorCode Code) {
+    return NetError{Code, Ip, Port, Error};
+  };
+  const auto Address = asio::ip::make_address(Ip, Error);
+  if (Error)
+    return Fail(NetErrorCode::BadAddress);
+  const tcp::endpoint Local(Address, Port);
+  tcp::acceptor &Acceptor = m_Impl->m_Acceptor;
+  Acceptor.open(Local.protocol(), Error);
+  if (Error)
+    return Fail(NetErrorCode::OpenFailed);
+  Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
+  Acceptor.bind(Local, Error);
+  if (Error) {
+    const NetError Failed = Fail(NetErrorCode::BindFailed);
+    Acceptor.close(Error);
+    return Failed;
+  }
+  Acceptor.listen(asio::socket_base::max_listen_connections, Error);
+  if (Error) {
+    const NetError Failed = Fail(NetErrorCode::ListenFailed);
+    Acceptor.close(Error);
+    return Failed;
+  }
+  m_Impl->accept();
+  return Done{};
+}
+
+std::uint16_t PeerServer::port() const {
+  boost::system::error_code Error;
+  return m_Impl->m_Acceptor.local_endpoint(Error).port();
+}
+
+void PeerServer::handle(std::string Path, Handler Fn) {
+  m_Impl->m_Handlers.insert_or_assign(std::move(Path), std::move(Fn));
+}
+
+std::size_t PeerServer::connections() const {
+  return m_Impl->m_Sessions.size();
+}
+
+} // namespace ragwortdrift
--- /dev/null
+++ b/src/ragwortdrift/net/peer_session.cpp
@@ -0,0 +1,306 @@
+#include "ragwortdrift/net/peer_session.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <cstring>
+
+namespace ragwortdrift::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t WriteChunkBytes = 256 * 1024;
+/// A whole message fits into a stream's window, so that a message never waits
+/// for a window update.
+constexpr std::int32_t StreamWindowBytes = (1 << 20) + 65536;
+constexpr std::int32_t ConnectionWindowBytes = 4 << 20;
+
+std::string_view asView(const std::uint8_t *Data, std::size_t Size) {
+  return {reinterpret_cast<const char *>(Data), Size};
+}
+
+} // namespace
+
+struct SessionCallbacks {
+  static PeerSession &self(void *User) {
+    return *static_cast<PeerSession *>(User);
+  }
+  static int beginHeaders(nghttp2_session *, const nghttp2_frame *Frame,
+                          void *User) {
+    self(User).onHeadersBegin(Frame->hd.stream_id);
+    return 0;
+  }
+  static int header(nghttp2_session *, const nghttp2_frame *Frame,
+                    const std::uint8_t *Name, std::size_t NameSize,
+                    const std::uint8_t *Value, std::size_t ValueSize,
+                    std::uint8_t, void *User) {
+    self(User).onHeader(Frame->hd.stream_id, asView(Name, NameSize),
+                        asView(Value, ValueSize));
+    return 0;
+  }
+  static int data(nghttp2_session *, std::uint8_t, std::int32_t Stream,
+                  const std::uint8_t *Data, std::size_t Size, void *User) {
+    self(User).onData(Stream, asView(Data, Size));
+    return 0;
+  }
+  static int frameReceived(nghttp2_session *, const nghttp2_frame *Frame,
+                           void *User) {
+    PeerSession &Self = self(User);
+    if (Frame->hd.type == PeerNonceFrameType)
+      Self.onNonce(Self.m_NonceIn);
+    else if (Frame->hd.type == NGHTTP2_GOAWAY)
+      Self.onGoaway();
+    else if ((Frame->hd.type == NGHTTP2_DATA ||
+              Frame->hd.type == NGHTTP2_HEADERS) &&
+             (Frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0)
+      Self.onEndStream(Frame->hd.stream_id);
+    return 0;
+  }
+  static int frameSent(nghttp2_session *, const nghttp2_frame *Frame,
+                       void *User) {
+    if (Frame->hd.type == NGHTTP2_HEADERS)
+      self(User).onHeadersSent(Frame->hd.stream_id);
+    return 0;
+  }
+  static int streamClosed(nghttp2_session *, std::int32_t Stream,
+                          std::uint32_t Code, void *User) {
+    self(User).onStreamClosed(Stream, Code);
+    return 0;
+  }
+  static ssize_t packExtension(nghttp2_session *, std::uint8_t *Buffer,
+                               std::size_t Length, const nghttp2_frame *Frame,
+                               void *) {
+    const auto &Nonce = *static_cast<const PeerNonce *>(Frame->ext.payload);
+    if (Length < Nonce.size())
+      return NGHTTP2_ERR_CANCEL;
+    std::ranges::copy(Nonce, Buffer);
+    return static_cast<ssize_t>(Nonce.size());
+  }
+  static int extensionChunk(nghttp2_session *, const nghttp2_frame_hd *,
+                            const std::uint8_t *Data, std::size_t Size,
+                            void *User) {
+    std::string &Nonce = self(User).m_NonceIn;
+    // One byte more than a nonce is kept, which is enough to see the fault.
+    Nonce.append(asView(
+        Data, std::min(Size, std::tuple_size_v<PeerNonce> + 1 -
+                                 std::min(Nonce.size(),
+                                          std::tuple_size_v<PeerNonce> + 1))));
+    return 0;
+  }
+  static int unpackExtension(nghttp2_session *, void **Payload,
+                             const nghttp2_frame_hd *, void *) {
+    *Payload = nullptr;
+    return 0;
+  }
+  static ssize_t readBody(nghttp2_session *, std::int32_t Stream,
+                          std::uint8_t *Buffer, std::size_t Length,
+                          std::uint32_t *Flags, nghttp2_data_source *,
+                          void *User) {
+    bool Eof = false;
+    const ssize_t Size = self(User).onRead(Stream, Buffer, Length, Eof);
+    if (Eof)
+      *Flags |= NGHTTP2_DATA_FLAG_EOF;
+    return Size;
+  }
+
+  static nghttp2_session *make(PeerSession &Self, PeerSession::Role Side) {
+    nghttp2_session_callbacks *Callbacks = nullptr;
+    nghttp2_session_callbacks_new(&Callbacks);
+    nghttp2_session_callbacks_set_on_begin_headers_callback(Callbacks,
+                                                            beginHeaders);
+    nghttp2_session_callbacks_set_on_header_callback(Callbacks, header);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(Callbacks, data);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(Callbacks,
+                                                         frameReceived);
+    nghttp2_session_callbacks_set_on_frame_send_callback(Callbacks, frameSent);
+    nghttp2_session_callbacks_set_on_stream_close_callback(Callbacks,
+                                                           streamClosed);
+    nghttp2_session_callbacks_set_pack_extension_callback(Callbacks,
+                                                          packExtension);
+    nghttp2_session_callbacks_set_on_extension_chunk_recv_callback(
+        Callbacks, extensionChunk);
+    nghttp2_session_callbacks_set_unpack_extension_callback(Callbacks,
+                                                            unpackExtension);
+    nghttp2_option *Options = nullptr;
+    nghttp2_option_new(&Options);
+    if (Side == PeerSession::Role::Client)
+      nghttp2_option_set_user_recv_extension_type(Options, PeerNonceFrameType);
+    nghttp2_option_set_max_send_header_block_length(Options, 16384);
+    nghttp2_session *Session = nullptr;
+    if (Side == PeerSession::Role::Server)
+      nghttp2_session_server_new2(&Session, Callbacks, &Self, Options);
+    else
+      nghttp2_session_client_new2(&Session, Callbacks, &Self, Options);
+    nghttp2_option_del(Options);
+    nghttp2_session_callbacks_del(Callbacks);
+    return Session;
+  }
+};
+
+PeerSession::PeerSession(asio::ip::tcp::socket Socket, TimerService &Timers,
+                         Role Side, PeerLimits Limits)
+    : m_Socket(std::move(Socket)), m_Timers(Timers), m_Limits(Limits),
+      m_Session(SessionCallbacks::make(*this, Side)) {
+  const std::array Settings{
+      nghttp2_settings_entry{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS,
+                             Side == Role::Server ? Limits.m_MaxStreams : 0},
+      nghttp2_settings_entry{NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE,
+                             StreamWindowBytes},
+      nghttp2_settings_entry{NGHTTP2_SETTINGS_ENABLE_PUSH, 0}};
+  // A server may not send ENABLE_PUSH other than 0; a client disables it.
+  nghttp2_submit_settings(m_Session.get(), NGHTTP2_FLAG_NONE, Settings.data(),
+                          Settings.size());
+  nghttp2_session_set_local_window_size(m_Session.get(), NGHTTP2_FLAG_NONE, 0,
+                                        ConnectionWindowBytes);
+}
+
+void PeerSession::startIo() {
+  boost::system::error_code Ignored;
+  m_Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  m_LastReceived = m_Timers.now();
+  m_Tick = m_Timers.every(PeerPingPeriod, [Weak = weak_from_this()] {
+    if (const auto Self = Weak.lock())
+      Self->tick();
+  });
+  read();
+  schedulePump();
+}
+
+void PeerSession::close(PeerErrorCode Reason) {
+  if (m_Closed)
+    return;
+  const auto Self = shared_from_this();
+  m_Closed = true;
+  m_Tick.reset();
+  boost::system::error_code Ignored;
+  m_Socket.close(Ignored);
+  onClosed(Reason);
+}
+
+void PeerSession::tick() {
+  if (m_Timers.now() - m_LastReceived >= PeerSilenceLimit) {
+    // After a stall of this process the peer's bytes may wait in the socket.
+    boost::system::error_code Error;
+    if (m_Socket.available(Error) == 0 || Error)
+      return close(PeerErrorCode::SilentConnection);
+  }
+  onTick();
+}
+
+void PeerSession::read() {
+  m_Socket.async_read_some(
+      asio::buffer(m_ReadBuffer),
+      [Self = shared_from_this()](boost::system::error_code Error,
+                                  std::size_t Size) {
+        if (Self->m_Closed)
+          return;
+        if (Error)
+          return Self->close(PeerErrorCode::ConnectionLost);
+        Self->m_LastReceived = Self->m_Timers.now();
+        const ssize_t Used = nghttp2_session_mem_recv(
+            Self->m_Session.get(), Self->m_ReadBuffer.data(), Size);
+        Self->runEvents();
+        if (Self->m_Closed)
+          return;
+        if (Used < 0)
+          return Self->close(PeerErrorCode::Protocol);
+        Self->pump();
+        if (!Self->m_Closed)
+          Self->read();
+      });
+}
+
+void PeerSession::schedulePump() {
+  if (m_PumpScheduled || m_Closed)
+    return;
+  m_PumpScheduled = true;
+  asio::post(m_Socket.get_executor(), [Self = shared_from_this()] {
+    Self->m_PumpScheduled = false;
+    Self->pump();
+  });
+}
+
+void PeerSession::pump() {
+  if (m_Writing || m_Closed)
+    return;
+  m_WriteBuffer.clear();
+  while (m_WriteBuffer.size() < WriteChunkBytes) {
+    const std::uint8_t *Data = nullptr;
+    const ssize_t Size = nghttp2_session_mem_send(m_Session.get(), &Data);
+    if (Size < 0)
+      return close(PeerErrorCode::Protocol);
+    if (Size == 0)
+      break;
+    m_WriteBuffer.append(asView(Data, static_cast<std::size_t>(Size)));
+  }
+  runEvents();
+  if (m_Closed)
+    return;
+  if (m_WriteBuffer.empty()) {
+    // nghttp2 has ended the session, for example after a protocol fault.
+    if (nghttp2_session_want_read(m_Session.get()) == 0 &&
+        nghttp2_session_want_write(m_Session.get()) == 0)
+      close(PeerErrorCode::Protocol);
+    return;
+  }
+  m_Writing = true;
+  asio::async_write(m_Socket, asio::buffer(m_WriteBuffer),
+                    [Self = shared_from_this()](boost::system::error_code Error,
+                                                std::size_t) {
+                      Self->m_Writing = false;
+                      if (Self->m_Closed)
+                        return;
+                      if (Error)
+                        return Self->close(PeerErrorCode::ConnectionLost);
+                      Self->pump();
+                    });
+}
+
+void PeerSession::runEvents() {
+  if (m_RunningEvents)
+    return;
+  m_RunningEvents = true;
+  while (!m_Events.empty()) {
+    const auto Event = std::move(m_Events.front());
+    m_Events.pop_front();
+    Event();
+  }
+  m_RunningEvents = false;
+}
+
+void PeerSession::resetStream(std::int32_t Stream, std::uint32_t Code) {
+  if (m_Closed)
+    return;
+  nghttp2_submit_rst_stream(m_Session.get(), NGHTTP2_FLAG_NONE, Stream, Code);
+  schedulePump();
+}
+
+nghttp2_data_provider PeerSession::bodyProvider() {
+  nghttp2_data_provider Provider{};
+  Provider.read_callback = SessionCallbacks::readBody;
+  return Provider;
+}
+
+std::size_t takeBytes(std::string &Text, std::size_t &Offset,
+                      std::uint8_t *Buffer, std::size_t Length) {
+  const std::size_t Size = std::min(Length, Text.size() - Offset);
+  std::memcpy(Buffer, Text.data() + Offset, Size);
+  Offset += Size;
+  if (Offset == Text.size()) {
+    Text.clear();
+    Offset = 0;
+  }
+  return Size;
+}
+
+nghttp2_nv makeHeader(std::string_view Name, std::string_view Value) {
+  // nghttp2 copies both without changing them; its type lacks const.
+  return {reinterpret_cast<std::uint8_t *>(const_cast<char *>(Name.data())),
+          reinterpret_cast<std::uint8_t *>(const_cast<char *>(Value.data())),
+          Name.size(), Value.size(), NGHTTP2_NV_FLAG_NONE};
+}
+
+} // namespace ragwortdrift::detail
