--- /dev/null
+++ b/src/ragwortdrift/tools/leaf/leaf_session.cpp
@@ -0,0 +1,266 @@
+#include "ragwortdrift/tools/leaf/leaf_session.hpp"
+
+#include "ragwortdrift/base/asio_timer_driver.hpp"
+#include "ragwortdrift/base/hash.hpp"
+#include "ragwortdrift/tools/common/clock.hpp"
+
+#include <boost/asio/buffer.hpp>
+
+#include <charconv>
+
+namespace ragwortdrift::tools {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t MaxBodyBytes = 1 << 20;
+
+std::optional<std::uint64_t> parseNumber(std::string_view Text) {
+  std::uint64_t Number = 0;
+  const auto [End, Code] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  if (Code != std::errc{} || End != Text.data() + Text.size())
+    return std::nullopt;
+  return Number;
+}
+
+std::string hexOf(std::uint64_t Number) {
+  std::array<char, 16> Digits{};
+  const auto End =
+      std::to_chars(Digits.data(), Digits.data() + Digits.size(), Number, 16)
+          .ptr;
+  return {Digits.data(), End};
+}
+
+} // namespace
+
+LeafSession::LeafSession(LeafServer &Server,
+                         boost::asio::ip::tcp::socket Socket)
+    : m_Server(Server), m_Socket(std::move(Socket)),
+      m_Timer(m_Socket.get_executor()) {}
+
+void LeafSession::start(Duration Cost) {
+  error_code Ignored;
+  m_Socket.set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
+  m_Timer.expires_after(Cost);
+  m_Timer.async_wait([Self = shared_from_this()](error_code Code) {
+    if (!Code)
+      Self->read();
+  });
+}
+
+void LeafSession::close() {
+  if (m_Phase == Phase::Closed)
+    return;
+  const Phase Before = std::exchange(m_Phase, Phase::Closed);
+  const auto Self = shared_from_this();
+  error_code Ignored;
+  m_Socket.close(Ignored);
+  m_Timer.cancel();
+  LeafModel &Model = m_Server.m_Model;
+  if (Before == Phase::Queued) {
+    std::erase(m_Server.m_Waiting, Self);
+    Model.leaveQueue();
+    ++Model.counters().m_Cancelled;
+  } else if (Before == Phase::Running) {
+    Model.end(false, steadyNow());
+  }
+  m_Server.m_Sessions.erase(Self);
+  m_Server.startQueued();
+}
+
+void LeafSession::read() {
+  if (m_Phase == Phase::Closed)
+    return;
+  m_Phase = Phase::Idle;
+  m_Parser.emplace();
+  m_Parser->body_limit(MaxBodyBytes);
+  http::async_read(m_Socket, m_Buffer, *m_Parser,
+                   [Self = shared_from_this()](error_code Code, std::size_t) {
+                     if (Code)
+                       return Self->close();
+                     Self->m_Request = Self->m_Parser->release();
+                     Self->handle();
+                   });
+}
+
+void LeafSession::handle() {
+  if (m_Phase == Phase::Closed)
+    return;
+  if (m_Silent)
+    return read();
+  const std::string_view Target = m_Request.target();
+  if (m_Request.method() == http::verb::post && Target == "/search")
+    return handleSearch();
+  if (m_Request.method() == http::verb::get && Target == "/health")
+    return answer(http::status::ok, m_Server.health());
+  if (m_Request.method() == http::verb::get && Target == "/load")
+    return answer(http::status::ok, m_Server.load());
+  answer(http::status::not_found, {{"error", "not_found"}});
+}
+
+std::string LeafSession::header(std::string_view Name) const {
+  const auto Found = m_Request.find(Name);
+  return Found == m_Request.end() ? std::string() : std::string(Found->value());
+}
+
+void LeafSession::handleSearch() {
+  const std::string Version = header("Rd-Snapshot");
+  m_Version = Version.empty() ? std::nullopt : parseNumber(Version);
+  const auto DeadlineMs = parseNumber(header("Rd-Deadline-Ms"));
+  if ((!Version.empty() && !m_Version) || !DeadlineMs)
+    return answer(http::status::bad_request, {{"error", "bad_header"}}, true);
+  if (header("Rd-Group") != m_Server.options().m_Group) {
+    ++m_Server.m_WrongGroup;
+    return answer(http::status::bad_request, {{"error", "wrong_group"}}, true);
+  }
+  m_Deadline = steadyNow() + std::chrono::milliseconds(*DeadlineMs);
+  m_Phase = Phase::Arriving;
+  watchPeer();
+  const double DelayMs = m_Server.options().m_DelayMs;
+  if (DelayMs <= 0)
+    return arrive();
+  m_Timer.expires_after(fromMillis(DelayMs));
+  m_Timer.async_wait([Self = shared_from_this()](error_code Code) {
+    if (!Code && Self->m_Phase == Phase::Arriving)
+      Self->arrive();
+  });
+}
+
+void LeafSession::arrive() {
+  const Admission Verdict = m_Server.m_Model.offer(steadyNow(), m_Version);
+  m_Server.noteState();
+  switch (Verdict) {
+  case Admission::Start:
+    return begin();
+  case Admission::Queue:
+    m_Phase = Phase::Queued;
+    m_Server.m_Waiting.push_back(shared_from_this());
+    return;
+  case Admission::VersionMissing:
+    return answer(http::status::conflict, {{"error", "version_not_offered"}},
+                  true);
+  case Admission::Shed:
+    return answer(http::status::service_unavailable, {{"error", "shed"}}, true);
+  case Admission::Leaving:
+    return answer(http::status::service_unavailable, {{"error", "leaving"}},
+                  true);
+  }
+}
+
+bool LeafSession::beginQueued() {
+  if (steadyNow() >= m_Deadline) {
+    ++m_Server.m_Model.counters().m_Expired;
+    answer(http::status::service_unavailable, {{"error", "expired"}}, true);
+    return false;
+  }
+  begin();
+  return true;
+}
+
+void LeafSession::begin() {
+  m_Phase = Phase::Running;
+  LeafModel &Model = m_Server.m_Model;
+  const TimePoint Now = steadyNow();
+  const Duration Run = Model.begin(Now);
+  const std::uint64_t Version = m_Version.value_or(Model.newestSnapshot());
+  m_Record = m_Server.m_Records.size();
+  m_Server.m_Records.push_back({header("Rd-Request-Id"),
+                                header("Idempotency-Key"), Version,
+                                wallClockNow(), false});
+  if (m_Server.m_RecordFile)
+    m_Server.m_RecordFile->write(Model.options(), m_Server.m_Records.back());
+  const bool Completes = Now + Run <= m_Deadline;
+  m_Timer.expires_after(Completes ? Run : m_Deadline - Now);
+  m_Timer.async_wait([Self = shared_from_this(), Completes](error_code Code) {
+    if (!Code && Self->m_Phase == Phase::Running)
+      Self->finish(Completes);
+  });
+}
+
+void LeafSession::finish(bool Completed) {
+  LeafModel &Model = m_Server.m_Model;
+  Model.end(Completed, steadyNow());
+  m_Server.noteState();
+  // A reset of the records may have dropped this request's record.
+  const bool HasRecord = m_Record < m_Server.m_Records.size();
+  const std::uint64_t Version =
+      m_Version.value_or(HasRecord ? m_Server.m_Records[m_Record].m_Snapshot
+                                   : Model.newestSnapshot());
+  if (HasRecord)
+    m_Server.m_Records[m_Record].m_Ended = Completed;
+  if (Completed) {
+    answer(http::status::ok,
+           {{"leaf", Model.options().m_Name},
+            {"group", Model.options().m_Group},
+            {"snapshot", Version},
+            {"boot_id", Model.bootId()},
+            {"request_id", header("Rd-Request-Id")},
+            {"body_hash", hexOf(stableHash(m_Request.body()))}});
+    m_Response.set("Rd-Snapshot", std::to_string(Version));
+  } else {
+    answer(http::status::gateway_timeout, {{"error", "deadline_exceeded"}});
+  }
+  m_Server.startQueued();
+}
+
+void LeafSession::watchPeer() {
+  m_Socket.async_wait(
+      boost::asio::ip::tcp::socket::wait_read,
+      [Self = shared_from_this()](error_code Code) {
+        if (Code || Self->m_Phase == Phase::Idle ||
+            Self->m_Phase == Phase::Closed)
+          return;
+        error_code PeekCode;
+        char Byte = 0;
+        Self->m_Socket.non_blocking(true, PeekCode);
+        const std::size_t Got = Self->m_Socket.receive(
+            boost::asio::buffer(&Byte, 1),
+            boost::asio::ip::tcp::socket::message_peek, PeekCode);
+        // Bytes of a further request stay in the socket until it is read.
+        if (Got == 0 && PeekCode != boost::asio::error::would_block)
+          Self->close();
+      });
+}
+
+void LeafSession::answer(http::status Status, boost::json::object Body,
+                         bool NotRun) {
+  m_Phase = Phase::Answering;
+  LeafModel &Model = m_Server.m_Model;
+  m_Response = {Status, m_Request.version()};
+  m_Response.keep_alive(m_Request.keep_alive());
+  m_Response.set(http::field::content_type, "application/json");
+  m_Response.set("Rd-Snapshots", Model.snapshotList());
+  m_Response.set("Rd-Boot-Id", Model.bootId());
+  m_Response.set("Rd-Load", std::to_string(Model.load()));
+  if (NotRun)
+    m_Response.set("Rd-Not-Run", "1");
+  if (Model.cold())
+    m_Response.set("Rd-Cold", "1");
+  if (Model.leaving())
+    m_Response.set("Rd-Leaving", "1");
+  m_Response.body() = boost::json::serialize(Body);
+  m_Response.prepare_payload();
+  // The write is posted, so that the caller may still add headers.
+  m_Timer.expires_after(fromMillis(m_Server.options().m_DelayMs));
+  m_Timer.async_wait([Self = shared_from_this()](error_code Code) {
+    if (!Code && Self->m_Phase == Phase::Answering)
+      Self->write();
+  });
+}
+
+void LeafSession::write() {
+  if (m_Silent)
+    return read();
+  m_Server.m_Model.noteColdShown(steadyNow());
+  http::async_write(m_Socket, m_Response,
+                    [Self = shared_from_this()](error_code Code, std::size_t) {
+                      if (Code || !Self->m_Response.keep_alive())
+                        return Self->close();
+                      Self->read();
+                    });
+}
+
+} // namespace ragwortdrift::tools
