--- a/src/ragwortdrift/tools/leaf/leaf_host.cpp
+++ b/src/ragwortdrift/tools/leaf/leaf_host.cpp
@@ -1,7 +1,6 @@
 #include "ragwortdrift/tools/leaf/leaf_host.hpp"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_future.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -18,10 +17,13 @@
 /// A control client that sends nothing for this long is disconnected.
 constexpr std::chrono::seconds ControlTimeout{5};
 
+/// Runs Work on the thread of Io. The task is wrapped because asio::post
+/// takes the future of a std::packaged_task for itself.
 template <class Fn> auto runOn(boost::asio::io_context &Io, Fn Work) {
-  std::packaged_task<decltype(Work())()> Task(std::move(Work));
-  auto Future = Task.get_future();
-  boost::asio::post(Io, std::move(Task));
+  auto Task =
+      std::make_shared<std::packaged_task<decltype(Work())()>>(std::move(Work));
+  auto Future = Task->get_future();
+  boost::asio::post(Io, [Task] { (*Task)(); });
   return Future;
 }
 
