--- /dev/null
+++ b/include/ragwortdrift/consensus/log_format.hpp
@@ -0,0 +1,91 @@
+#ifndef RAGWORTDRIFT_CONSENSUS_LOG_FORMAT_HPP
+#define RAGWORTDRIFT_CONSENSUS_LOG_FORMAT_HPP
+
+#include "ragwortdrift/base/result.hpp"
+#include "ragwortdrift/consensus/errors.hpp"
+#include "ragwortdrift/consensus/raft_types.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ragwortdrift {
+
+/// Files of a data folder, all little-endian:
+///
+/// * `store`: magic, format version, store id, CRC. Written last when a folder
+///   is formatted.
+/// * `log-<16 hexadecimal digits>`: a segment. A header (magic, version, store
+///   id, segment number, CRC) and then frames. A frame holds one batch that was
+///   written and synced together: magic, payload length, CRC, payload. Its CRC
+///   also covers the store id, the segment number and the frame's ordinal, so
+///   that bytes of another place are never taken for a frame.
+/// * `snapshot`: header, then the snapshot and the number of the first segment
+///   that is still needed.
+namespace log_format {
+
+constexpr std::uint32_t Version = 1;
+constexpr std::size_t SegmentHeaderBytes = 32;
+constexpr std::size_t FrameHeaderBytes = 12;
+
+inline const std::string StoreName = "store";
+inline const std::string SnapshotName = "snapshot";
+inline const std::string TemporarySuffix = ".tmp";
+
+/// What one frame holds.
+struct Batch {
+  std::optional<HardState> m_Hard;
+  std::vector<LogEntry> m_Entries;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_Hard, m_Entries);
+  }
+};
+
+struct SnapshotFile {
+  std::uint64_t m_FirstSegment = 1;
+  Snapshot m_Snapshot;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_FirstSegment, m_Snapshot);
+  }
+};
+
+/// A position in a store that a frame is bound to.
+struct FramePlace {
+  StoreId m_Store;
+  std::uint64_t m_Segment = 0;
+  std::uint64_t m_Ordinal = 0;
+};
+
+/// The frames of a segment. m_ValidBytes is the offset after the last good
+/// frame; bytes after it are a torn tail.
+struct SegmentContent {
+  std::vector<Batch> m_Batches;
+  std::uint64_t m_ValidBytes = 0;
+  bool m_Torn = false;
+};
+
+std::string segmentName(std::uint64_t Segment);
+std::optional<std::uint64_t> parseSegmentName(std::string_view Name);
+
+std::string encodeStoreFile(StoreId Store);
+Result<StoreId, StoreError> decodeStoreFile(std::string_view Bytes);
+
+std::string encodeSegmentHeader(StoreId Store, std::uint64_t Segment);
+std::string encodeFrame(const FramePlace &Place, const Batch &Content);
+/// Reads a segment. A bad frame with a good one after it, or in a segment that
+/// is not the last, is damage. A bad frame at the end of the last segment is a
+/// write that was interrupted before its sync.
+Result<SegmentContent, StoreError> decodeSegment(std::string_view Bytes,
+                                                 StoreId Store,
+                                                 std::uint64_t Segment,
+                                                 bool IsLast);
+
+std::string encodeSnapshotFile(StoreId Store, const SnapshotFile &Content);
+Result<SnapshotFile, StoreError> decodeSnapshotFile(std::string_view Bytes,
+                                                    StoreId Store);
+
+} // namespace log_format
+} // namespace ragwortdrift
+
+#endif
--- /dev/null
+++ b/include/ragwortdrift/consensus/log_store.hpp
@@ -0,0 +1,78 @@
+#ifndef RAGWORTDRIFT_CONSENSUS_LOG_STORE_HPP
+#define RAGWORTDRIFT_CONSENSUS_LOG_STORE_HPP
+
+#include "ragwortdrift/consensus/file_ops.hpp"
+#include "ragwortdrift/consensus/log_format.hpp"
+
+#include <span>
+
+namespace ragwortdrift {
+
+/// The log, hard state and snapshot of one VM in one data folder. Everything a
+/// call reports as done is on disk. After an error nothing more is written,
+/// since the state of unsynced bytes is unknown after a failed sync; the folder
+/// has to be opened anew.
+template <FileOps Files> class BasicLogStore {
+public:
+  /// FreshId becomes the store id when the folder is formatted.
+  BasicLogStore(Files Folder, StoreId FreshId)
+      : m_Files(std::move(Folder)), m_StoreId(FreshId) {}
+
+  /// Locks the folder, formats it when it is empty and reads what it holds. A
+  /// torn tail is cut off. Damage anywhere else is refused with file and
+  /// offset. Damage within the last batch cannot be told from a torn write.
+  Result<RecoveredLog, StoreError> open();
+
+  /// Writes one batch and syncs it. Entries replace those from their index on.
+  Result<Done, StoreError> write(const std::optional<HardState> &Hard,
+                                 std::span<const LogEntry> Entries);
+
+  /// Replaces the log up to the snapshot. Suffix holds the entries after it
+  /// that were written before; all others are dropped.
+  Result<Done, StoreError> saveSnapshot(const Snapshot &Taken,
+                                        const HardState &Hard,
+                                        std::span<const LogEntry> Suffix);
+
+  StoreId storeId() const { return m_StoreId; }
+  /// fsync calls since the folder was opened, of files and of the folder.
+  std::uint64_t syncCount() const { return m_Syncs; }
+  const std::optional<StoreError> &failure() const { return m_Failure; }
+
+private:
+  using Status = Result<Done, StoreError>;
+
+  Status format(const std::vector<std::string> &Names);
+  Result<RecoveredLog, StoreError> recover(std::vector<std::string> Names);
+  Result<std::uint64_t, StoreError> readSnapshot(bool Exists,
+                                                 RecoveredLog &Out);
+  Status readSegments(const std::vector<std::uint64_t> &Segments,
+                      RecoveredLog &Out);
+  Status repairTail(const log_format::SegmentContent &Content,
+                    std::uint64_t Size);
+  Status replay(const log_format::Batch &Content, RecoveredLog &Out);
+  Status dropSegmentsBefore(std::uint64_t First,
+                            std::vector<std::uint64_t> &Segments);
+  Status startSegment(std::uint64_t Segment, const log_format::Batch &First);
+  Status replaceFile(const std::string &Name, const std::string &Bytes);
+  Status appendAll(const std::string &Name, std::string_view Bytes);
+  Status syncFile(const std::string &Name);
+  Status syncFolder();
+  Result<std::string, StoreError> readFile(const std::string &Name);
+  StoreError fail(StoreError Error);
+  StoreError ioFailure(IoError Error, const std::string &Name);
+
+  Files m_Files;
+  StoreId m_StoreId;
+  std::vector<std::uint64_t> m_Segments;
+  std::uint64_t m_NextOrdinal = 0;
+  std::uint64_t m_Syncs = 0;
+  std::optional<StoreError> m_Failure;
+};
+
+using LogStore = BasicLogStore<PosixFiles>;
+
+} // namespace ragwortdrift
+
+#include "ragwortdrift/consensus/log_store_impl.hpp"
+
+#endif
--- /dev/null
+++ b/include/ragwortdrift/consensus/raft_types.hpp
@@ -0,0 +1,216 @@
+#ifndef RAGWORTDRIFT_CONSENSUS_RAFT_TYPES_HPP
+#define RAGWORTDRIFT_CONSENSUS_RAFT_TYPES_HPP
+
+#include "ragwortdrift/base/codec.hpp"
+#include "ragwortdrift/base/ids.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ragwortdrift {
+
+/// Position in the log, from 1; 0 means before the first entry.
+using LogIndex = std::uint64_t;
+/// Election term; 0 means that no election took place.
+using LogTerm = std::uint64_t;
+/// Identifies one data folder; drawn at random when the folder is formatted.
+using StoreId = StrongId<struct StoreIdTag, std::uint64_t>;
+/// Identifies one cluster: the store id of the VM that formed it.
+using ClusterId = StrongId<struct ClusterIdTag, std::uint64_t>;
+
+/// Identity of a participant. A VM whose disk was replaced has another store
+/// id, so its earlier votes and acknowledgements are not counted for it.
+struct MemberKey {
+  VmId m_Vm;
+  StoreId m_Store;
+  friend auto operator<=>(const MemberKey &, const MemberKey &) = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(m_Vm, m_Store); }
+};
+
+struct Member {
+  MemberKey m_Key;
+  std::string m_Address;
+  friend bool operator==(const Member &, const Member &) = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(m_Key, m_Address); }
+};
+
+/// Voters count for elections and commits; learners only receive the log.
+struct Membership {
+  std::vector<Member> m_Voters;
+  std::vector<Member> m_Learners;
+  friend bool operator==(const Membership &, const Membership &) = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_Voters, m_Learners);
+  }
+};
+
+enum class EntryKind : std::uint8_t { NoOp, Payload, Membership };
+
+struct LogEntry {
+  LogIndex m_Index = 0;
+  LogTerm m_Term = 0;
+  EntryKind m_Kind = EntryKind::NoOp;
+  std::string m_Bytes;
+  friend bool operator==(const LogEntry &, const LogEntry &) = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_Index, m_Term, m_Kind, m_Bytes);
+  }
+};
+
+/// State that must be on disk before a message that depends on it is sent.
+struct HardState {
+  ClusterId m_Cluster;
+  LogTerm m_Term = 0;
+  std::optional<MemberKey> m_VotedFor;
+  friend bool operator==(const HardState &, const HardState &) = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_Cluster, m_Term, m_VotedFor);
+  }
+};
+
+/// State of the application up to and including the entry m_Index.
+struct Snapshot {
+  LogIndex m_Index = 0;
+  LogTerm m_Term = 0;
+  Membership m_Membership;
+  std::string m_Bytes;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_Index, m_Term, m_Membership, m_Bytes);
+  }
+};
+
+/// What a data folder holds when it is opened. m_Entries follow the snapshot.
+struct RecoveredLog {
+  HardState m_Hard;
+  std::shared_ptr<const Snapshot> m_Snapshot;
+  std::vector<LogEntry> m_Entries;
+};
+
+/// m_Transfer marks a vote asked for by the leader itself, which voters grant
+/// although they hear from a leader.
+struct VoteRequest {
+  bool m_PreVote = false;
+  bool m_Transfer = false;
+  LogIndex m_LastIndex = 0;
+  LogTerm m_LastTerm = 0;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_PreVote, m_Transfer, m_LastIndex, m_LastTerm);
+  }
+};
+
+struct VoteAnswer {
+  bool m_PreVote = false;
+  bool m_Granted = false;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_PreVote, m_Granted);
+  }
+};
+
+/// Without entries it is a heartbeat. m_Round is echoed in the answer and
+/// confirms reads that were requested before it was sent.
+struct AppendRequest {
+  LogIndex m_PrevIndex = 0;
+  LogTerm m_PrevTerm = 0;
+  LogIndex m_Commit = 0;
+  std::uint64_t m_Round = 0;
+  std::vector<LogEntry> m_Entries;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_PrevIndex, m_PrevTerm, m_Commit, m_Round, m_Entries);
+  }
+};
+
+/// On success m_Index is the last index known to equal the leader's log. On a
+/// rejection it is the rejected m_PrevIndex, and the hint is the first index
+/// the follower holds of its conflicting term, or one past its last entry with
+/// term 0.
+struct AppendAnswer {
+  bool m_Ok = false;
+  LogIndex m_Index = 0;
+  LogIndex m_HintIndex = 0;
+  LogTerm m_HintTerm = 0;
+  std::uint64_t m_Round = 0;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_Ok, m_Index, m_HintIndex, m_HintTerm, m_Round);
+  }
+};
+
+/// A part of a snapshot, from byte m_Offset of m_Total.
+struct SnapshotChunk {
+  LogIndex m_Index = 0;
+  LogTerm m_SnapshotTerm = 0;
+  Membership m_Membership;
+  std::uint64_t m_Total = 0;
+  std::uint64_t m_Offset = 0;
+  std::uint64_t m_Round = 0;
+  std::string m_Bytes;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_Index, m_SnapshotTerm, m_Membership, m_Total, m_Offset, m_Round,
+       m_Bytes);
+  }
+};
+
+/// m_Next is the next byte the follower needs; m_Installed means that it holds
+/// everything up to m_Index.
+struct SnapshotAnswer {
+  LogIndex m_Index = 0;
+  std::uint64_t m_Next = 0;
+  bool m_Installed = false;
+  std::uint64_t m_Round = 0;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_Index, m_Next, m_Installed, m_Round);
+  }
+};
+
+/// Asks the receiver to start an election at once.
+struct TimeoutNow {
+  template <class Archive> void serialize(Archive &) {}
+};
+
+/// Asks a VM for its store id. With m_Bind a store without entries joins the
+/// sender's cluster before it answers.
+struct StoreQuery {
+  std::uint64_t m_Nonce = 0;
+  bool m_Bind = false;
+  template <class Archive> void serialize(Archive &Ar) { Ar(m_Nonce, m_Bind); }
+};
+
+struct StoreAnswer {
+  std::uint64_t m_Nonce = 0;
+  bool m_Bound = false;
+  bool m_HasLog = false;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_Nonce, m_Bound, m_HasLog);
+  }
+};
+
+using MessageBody =
+    std::variant<VoteRequest, VoteAnswer, AppendRequest, AppendAnswer,
+                 SnapshotChunk, SnapshotAnswer, TimeoutNow, StoreQuery,
+                 StoreAnswer>;
+
+/// m_FromAddress lets the receiver answer a sender that is not in its
+/// membership yet.
+struct Message {
+  ClusterId m_Cluster;
+  MemberKey m_From;
+  std::string m_FromAddress;
+  MemberKey m_To;
+  LogTerm m_Term = 0;
+  MessageBody m_Body;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_Cluster, m_From, m_FromAddress, m_To, m_Term, m_Body);
+  }
+};
+
+struct OutMessage {
+  std::string m_Address;
+  Message m_Message;
+};
+
+} // namespace ragwortdrift
+
+#endif
