--- a/src/ragwortdrift/base/asio_timer_driver.cpp
+++ b/src/ragwortdrift/base/asio_timer_driver.cpp
@@ -8,7 +8,8 @@
 
 AsioTimerDriver::AsioTimerDriver(boost::asio::io_context &Io,
                                  TimerService &Timers)
-    : m_Timers(Timers), m_Timer(Io), m_Start(std::chrono::steady_clock::now()) {
+    : m_Timers(Timers), m_Timer(Io) {
+  refresh();
 }
 
 void AsioTimerDriver::start() { tick(); }
--- a/src/ragwortdrift/node/query_run.cpp
+++ b/src/ragwortdrift/node/query_run.cpp
@@ -70,6 +70,20 @@
   checkProgress();
 }
 
+std::optional<LeafIndex> QueryRun::currentIndex(LeafIndex Leaf) const {
+  if (current())
+    return Leaf;
+  const auto &Leafs = m_Routing.m_Service->m_Leafs;
+  const LeafId &Id = m_Service->m_Leafs[Leaf].m_Id;
+  const auto Found = std::find_if(Leafs.begin(), Leafs.end(),
+                                  [&](const ragwortdrift::Leaf &Candidate) {
+                                    return Candidate.m_Id == Id;
+                                  });
+  if (Found == Leafs.end())
+    return std::nullopt;
+  return static_cast<LeafIndex>(Found - Leafs.begin());
+}
+
 void QueryRun::cancel() {
   end(Refusal{RefusalCode::DeadlineExceeded, false, "cancelled by the caller"},
       AdmissionOutcome::Ignored);
@@ -77,6 +91,8 @@
 
 std::optional<std::uint32_t>
 QueryRun::addAttempt(GroupIndex Group, std::optional<LeafIndex> AvoidOwnerOf) {
+  if (!current())
+    return std::nullopt;
   GroupState &State = m_Groups[Group];
   std::vector<LeafIndex> Excluded = State.m_Tried;
   if (m_Version)
@@ -219,35 +235,38 @@
 void QueryRun::learn(const Attempt &Of, const RelayAnswer &Answer) {
   const TimePoint Now = now();
   const Duration Latency = Now - Of.m_Sent;
+  const auto Index = currentIndex(Of.m_Leaf);
+  if (!Index)
+    return;
   ReplicaChooser &Replicas = m_Routing.m_Replicas;
   switch (Answer.m_Status) {
   case RelayStatus::Answered:
   case RelayStatus::VersionNotOffered: {
-    Replicas.onAnswer(Now, Of.m_Leaf, Latency);
+    Replicas.onAnswer(Now, *Index, Latency);
     Replicas.onOwnerLatency(
-        Now, m_Service->m_Leafs[Of.m_Leaf].m_Partition,
+        Now, m_Routing.m_Service->m_Leafs[*Index].m_Partition,
         std::max(Latency - Answer.m_LeafTime - Answer.m_QueueTime,
                  Duration{0}));
-    Replicas.onReport(Now, Of.m_Leaf, Answer.m_Report);
+    Replicas.onReport(Now, *Index, Answer.m_Report);
     if (Of.m_Kind == ChoiceKind::Normal)
       m_Routing.m_Hedging.onLatency(Now, Latency);
     m_Routing.m_Hedging.onQueue(Now, Answer.m_Report.m_QueuePerSlot);
-    m_Routing.m_Snapshots.onOffered(Now, Of.m_Leaf, Answer.m_Offered);
+    m_Routing.m_Snapshots.onOffered(Now, *Index, Answer.m_Offered);
     if (Answer.m_Report.m_State == LeafState::Serving)
-      m_Routing.m_Warm[m_Service->m_Leafs[Of.m_Leaf].m_Id] = {Answer.m_BootId,
-                                                              Now};
+      m_Routing.m_Warm[m_Routing.m_Service->m_Leafs[*Index].m_Id] = {
+          Answer.m_BootId, Now};
     break;
   }
   case RelayStatus::MayHaveRun:
   case RelayStatus::ConnectFailed:
-    Replicas.onFailure(Now, Of.m_Leaf);
+    Replicas.onFailure(Now, *Index);
     break;
   default:
-    Replicas.onRefused(Now, Of.m_Leaf, gateCodeOf(Answer.m_Status),
+    Replicas.onRefused(Now, *Index, gateCodeOf(Answer.m_Status),
                        Answer.m_RetryAfter);
     if (Answer.m_Status == RelayStatus::Cold ||
         Answer.m_Status == RelayStatus::QueueFull)
-      Replicas.onReport(Now, Of.m_Leaf, Answer.m_Report);
+      Replicas.onReport(Now, *Index, Answer.m_Report);
   }
 }
 
@@ -266,7 +285,8 @@
     if (!Of.m_Open || Of.m_Group != Group)
       continue;
     close(Of);
-    m_Routing.m_Replicas.onCancelled(now(), Of.m_Leaf, now() - Of.m_Sent);
+    if (const auto Index = currentIndex(Of.m_Leaf))
+      m_Routing.m_Replicas.onCancelled(now(), *Index, now() - Of.m_Sent);
     if (const auto &Cancel = m_Relays[Of.m_Relay].m_CancelItem)
       Cancel(Item);
   }
@@ -279,7 +299,7 @@
   const Partition &To = m_Service->m_Partitions[Index];
   m_Engine.forgetOwner(To.m_Key, Of.m_Owner);
   GroupState &State = m_Groups[Of.m_Group];
-  if (!Answer.m_Holder || *Answer.m_Holder == Of.m_Owner ||
+  if (!current() || !Answer.m_Holder || *Answer.m_Holder == Of.m_Owner ||
       State.m_Rounds >= MaxRounds)
     return false;
   ++State.m_Rounds;
@@ -337,6 +357,10 @@
 void QueryRun::checkProgress() {
   if (m_Ended || waiting())
     return;
+  if (!current()) {
+    finish(false);
+    return;
+  }
   const SnapshotDecision Decision =
       decideSnapshot(now(), m_Started, m_Deadline, m_Assembly,
                      m_Routing.m_Snapshots, m_AskedAgain);
@@ -488,7 +512,8 @@
   m_Tick.reset();
   for (Attempt &Of : m_Attempts)
     if (std::exchange(Of.m_Open, false))
-      m_Routing.m_Replicas.onCancelled(now(), Of.m_Leaf, now() - Of.m_Sent);
+      if (const auto Index = currentIndex(Of.m_Leaf))
+        m_Routing.m_Replicas.onCancelled(now(), *Index, now() - Of.m_Sent);
   m_Relays.clear();
   if (!booking())
     m_Routing.m_Admission.leave(now(), now() - m_Started, Load);
--- a/src/ragwortdrift/node/query_run.hpp
+++ b/src/ragwortdrift/node/query_run.hpp
@@ -66,6 +66,11 @@
   using Batch = std::map<std::uint32_t, std::vector<std::uint32_t>>;
 
   TimePoint now() const { return m_Engine.m_Timers.now(); }
+  /// Whether the service is still as it was when the query started. Otherwise
+  /// no leaf is asked any more, since the indices of leafs may have changed.
+  bool current() const { return m_Routing.m_Service == m_Service; }
+  /// The index of a leaf in the service as it is now; nothing when it is gone.
+  std::optional<LeafIndex> currentIndex(LeafIndex Leaf) const;
   bool booking() const { return m_Request.m_Booking.has_value(); }
   std::optional<std::uint32_t>
   addAttempt(GroupIndex Group, std::optional<LeafIndex> AvoidOwnerOf);
