--- a/include/ragwortdrift/policy/cold_allowance.hpp
+++ b/include/ragwortdrift/policy/cold_allowance.hpp
@@ -21,9 +21,11 @@
 /// What a leaf in a cold start may receive: a rate (token bucket with a burst
 /// of one, so any window of W seconds holds at most 1 + W x rate requests) and
 /// a concurrency. The share of the leaf's rate starts at the cold fraction,
-/// grows by 1.25 after each 500 ms in which 5 or all offered requests were
-/// answered in time, and halves on a shed, slow or lost answer, down to an
-/// eighth of the cold fraction.
+/// grows by 1.25 after each 500 ms in which 5 or all ended requests were
+/// answered in time, and halves on a shed or on 2 slow or lost answers among
+/// the last 10, down to an eighth of the cold fraction. A single slow answer
+/// does not halve it, because 1% of the answers of a warm leaf are slow and
+/// would keep the leaf from ever leaving the cold start.
 class ColdAllowance {
 public:
   struct Limits {
@@ -50,10 +52,12 @@
 
   /// When the rate allows the next request, provided that the concurrency does.
   TimePoint nextAt() const;
+  /// When the last request was counted, or the start.
+  TimePoint lastTaken() const { return m_LastTaken; }
 
-  /// Takes in the end of a request and closes windows of 500 ms that have
+  /// Takes in the end of a request and closes the window of 500 ms when it has
   /// passed. SaysCold is Rd-Cold: 1 on the answer: no growth in that window,
-  /// unless the leaf has said so for 60 s with all answers in time.
+  /// unless the leaf has said so for 60 s without a halving.
   void onAnswer(TimePoint Now, AllowanceOutcome Outcome, bool SaysCold);
 
   /// Requests that the leaf may have at once.
@@ -72,13 +76,14 @@
   Limits m_Limits;
   double m_Fraction;
   TimePoint m_LastTaken;
-  bool m_Taken = false;
   TimePoint m_WindowStart;
-  std::uint32_t m_Offered = 0;
+  std::uint32_t m_Ended = 0;
   std::uint32_t m_InTime = 0;
-  bool m_Bad = false;
-  bool m_SaysCold = false;
-  TimePoint m_GoodSince;
+  /// One bit an answer, the last one lowest.
+  std::uint32_t m_SlowBits = 0;
+  bool m_Halved = false;
+  bool m_SaidCold = false;
+  std::optional<TimePoint> m_SaysColdSince;
 };
 
 } // namespace ragwortdrift
--- a/include/ragwortdrift/policy/leaf_gate.hpp
+++ b/include/ragwortdrift/policy/leaf_gate.hpp
@@ -87,7 +87,8 @@
   /// empty.
   std::optional<TimePoint> wakeAt(TimePoint Now) const;
 
-  /// An admitted request has ended. Reference as for LeafLifecycle::onAnswer.
+  /// An admitted request has ended. Reference as for LeafLifecycle::onAnswer; 0
+  /// stands for the service's expected time.
   /// ConnectionKept says whether its connection can be used again. The slot of
   /// a lost or cancelled request at a cold leaf stays taken until the request's
   /// deadline, because the leaf may still work on it.
@@ -132,14 +133,17 @@
     bool m_Held = false;
   };
 
-  bool limited(const GateRequest &Request) const;
-  bool maySend(TimePoint Now, const GateRequest &Request) const;
+  /// Whether the allowance applies.
+  bool limited() const;
+  bool maySend(TimePoint Now) const;
   std::optional<GateRefusal> refusalByState(TimePoint Now,
                                             const GateRequest &Request) const;
+  /// Why the request cannot be answered in time with Ahead requests before it.
+  std::optional<GateRefusal> refusalByTime(TimePoint Now, std::size_t Ahead,
+                                           const GateRequest &Request) const;
   GateAdmitted send(TimePoint Now, const GateRequest &Request);
   Duration expectedLatency(TimePoint Now) const;
-  TimePoint expectedStart(TimePoint Now, std::size_t Ahead,
-                          const GateRequest &Request) const;
+  TimePoint expectedStart(TimePoint Now, std::size_t Ahead) const;
   void releaseHeld(TimePoint Now);
   std::optional<LeafTransition>
   noteTransition(TimePoint Now, std::optional<LeafTransition> Change);
--- a/include/ragwortdrift/policy/leaf_lifecycle.hpp
+++ b/include/ragwortdrift/policy/leaf_lifecycle.hpp
@@ -72,13 +72,21 @@
 };
 
 /// Why a leaf is taken for cold.
-enum class ColdSign : std::uint8_t { Header, NewBootId, Sheds, SlowAnswers };
+enum class ColdSign : std::uint8_t {
+  Header,
+  NewBootId,
+  Sheds,
+  SlowAnswers,
+  /// It was ejected and cannot be shown to be the same, warm process.
+  AfterEjection
+};
 template <> struct EnumNames<ColdSign> {
   static constexpr std::array Entries{
       EnumName<ColdSign>{ColdSign::Header, "header"},
       EnumName<ColdSign>{ColdSign::NewBootId, "new_boot_id"},
       EnumName<ColdSign>{ColdSign::Sheds, "sheds"},
-      EnumName<ColdSign>{ColdSign::SlowAnswers, "slow_answers"}};
+      EnumName<ColdSign>{ColdSign::SlowAnswers, "slow_answers"},
+      EnumName<ColdSign>{ColdSign::AfterEjection, "after_ejection"}};
 };
 
 /// One change of state, for the decision log.
@@ -99,9 +107,18 @@
 
 using LeafChart = BoundChart<LeafState, LeafEvent>;
 
+/// An answer that took this many times the usual latency of the leaf's peers is
+/// slow.
+inline constexpr int SlowFactor = 5;
+
 /// The state of a leaf as its owner sees it, driven by a state chart. Signs of
-/// a cold start come from answers only: Rd-Cold, a new Rd-Boot-Id, 2 sheds or 8
-/// slow answers among the last 10.
+/// a cold start come from answers only:
+///   - Rd-Cold: 1 on an answer after one without it. A leaf that always says so
+///     would otherwise never leave the cold start.
+///   - a new Rd-Boot-Id.
+///   - 2 sheds among the last 10 answers. A single shed is normal: after a
+///     cancellation the owner's slot is free before the leaf has noticed.
+///   - 8 slow answers among the last 10.
 class LeafLifecycle {
 public:
   /// Chart must outlive the lifecycle.
@@ -139,26 +156,29 @@
   void onProbeSent(TimePoint Now);
 
 private:
-  static constexpr unsigned HistoryLength = 10;
-
   std::optional<LeafTransition> apply(LeafEvent Event,
                                       std::optional<ColdSign> Sign = {});
-  std::optional<ColdSign> findColdSign(const LeafAnswer &Answer,
-                                       Duration Reference);
-  void clearHistory();
+  std::optional<ColdSign> findColdSign(const LeafAnswer &Answer, bool Slow,
+                                       bool NewBoot);
+  std::optional<LeafTransition> onEjectedAnswer(const LeafAnswer &Answer,
+                                                bool NewBoot);
+  bool noteBootId(std::string_view BootId);
 
   const LeafChart *m_Chart;
   LeafState m_State;
   std::string m_BootId;
   bool m_Answered = false;
+  bool m_SaidCold = false;
+  bool m_SaidLeaving = false;
   bool m_OrderedOut = false;
+  bool m_EjectedFromServing = false;
   /// One bit an answer, the last one lowest.
   std::uint32_t m_SlowBits = 0;
   std::uint32_t m_ShedBits = 0;
   unsigned m_FailuresInRow = 0;
   Duration m_ProbeDelay{0};
   TimePoint m_ProbeAt;
-  /// State of the return of a leaf that said it was leaving.
+  /// What hints have shown since the leaf said that it was leaving.
   bool m_SeenUnreachable = false;
   std::optional<TimePoint> m_StayingSince;
 };
