--- a/include/ragwortdrift/policy/admission.hpp
+++ b/include/ragwortdrift/policy/admission.hpp
@@ -21,8 +21,9 @@
 
 /// How an admitted query ended, as far as it tells about load.
 enum class AdmissionOutcome : std::uint8_t {
+  /// Answered, also when cut by its deadline: its latency counts.
   Completed,
-  /// Cut by its deadline or refused by owners for want of capacity.
+  /// Parts are missing because owners' queues were full.
   Overloaded,
   /// Says nothing about load: bad request, caller gone.
   Ignored
@@ -59,12 +60,17 @@
   /// Every admitted query leaves once. Latency from admission to answer.
   void leave(TimePoint Now, Duration Latency, AdmissionOutcome Outcome);
 
-  std::uint32_t limit() const { return static_cast<std::uint32_t>(m_Limit); }
+  std::uint32_t limit() const;
   std::uint32_t inFlight() const { return m_InFlight; }
   void setMax(std::uint32_t Max);
 
 private:
+  /// Every 10 s under load the limit is halved for two windows: one to empty
+  /// the queue, one to measure the unloaded latency.
+  enum class Phase : std::uint8_t { Normal, Emptying, Measuring };
+
   void closeWindow(TimePoint Now);
+  void adjust(double Mean, double Peak, bool Refusing);
 
   Bounds m_Bounds;
   double m_Limit;
@@ -76,6 +82,8 @@
   std::uint32_t m_Overloaded = 0;
   /// Latency without queueing in us; 0 while unknown.
   double m_Unloaded = 0;
+  Phase m_Phase = Phase::Normal;
+  TimePoint m_ProbedAt;
 };
 
 } // namespace ragwortdrift
--- a/include/ragwortdrift/policy/hedge.hpp
+++ b/include/ragwortdrift/policy/hedge.hpp
@@ -32,9 +32,7 @@
 /// When to hedge. One object a service and traffic thread.
 class HedgePolicy {
 public:
-  explicit HedgePolicy(double Ratio = 0.05) : m_Ratio(Ratio) {}
-
-  /// The latency of a leaf request as the entry VM saw it; for a cancelled one
+  /// The latency of a first request as the entry VM saw it; for a cancelled one
   /// the time waited.
   void onLatency(TimePoint Now, Duration Latency);
   /// Requests waiting for each slot, from an owner's report.
@@ -47,14 +45,12 @@
 
   /// Quantiles of the service's leaf latency, for other rules and metrics.
   const LatencyWindow &latency() const { return m_Latency; }
-  bool saturated() const { return m_Saturated; }
+  bool saturated() const;
 
 private:
-  double m_Ratio;
   LatencyWindow m_Latency;
+  /// Mean of the latest reports.
   double m_Queue = 0;
-  TimePoint m_QueueAt;
-  bool m_Saturated = false;
 };
 
 } // namespace ragwortdrift
--- a/include/ragwortdrift/policy/replica_choice.hpp
+++ b/include/ragwortdrift/policy/replica_choice.hpp
@@ -63,8 +63,9 @@
   void update(std::shared_ptr<const Service> S,
               const std::set<FailureDomain> &DomainsOut);
 
-  /// Sets which owner (any number that is equal for equal VMs) a partition has;
-  /// nothing when there is none: its leafs are then passed over.
+  /// Sets which owner of a partition is known (any number that is equal for
+  /// equal VMs); nothing when there is none, as at the start: its leafs are not
+  /// chosen.
   void setOwner(std::uint32_t Partition, std::optional<std::uint64_t> Owner);
 
   /// Nothing when every replica of the group is excluded, draining, out or
@@ -105,7 +106,8 @@
     /// of 20 times the usual moves it little.
     double m_LogLatency = 0;
     TimePoint m_Updated;
-    bool m_Known = false;
+    /// Answers in the estimate, counted up to a bound.
+    std::uint32_t m_Samples = 0;
     std::uint32_t m_InFlight = 0;
     std::uint32_t m_FailuresInRow = 0;
     bool m_Ejected = false;
@@ -114,29 +116,29 @@
     TimePoint m_PassOverUntil;
     double m_Fraction = 1;
     TimePoint m_FractionUntil;
-    bool m_OutByOwner = false;
-    TimePoint m_OutByOwnerUntil;
   };
   struct OwnerState {
     std::optional<std::uint64_t> m_Owner;
     double m_LatencyMicros = 0;
-    bool m_Known = false;
   };
 
   bool usable(LeafIndex Leaf) const;
+  bool limitedByOwner(TimePoint Now, LeafIndex Leaf) const;
   bool passedOver(TimePoint Now, LeafIndex Leaf) const;
-  double groupMedianLog(TimePoint Now, GroupIndex Group,
-                        std::optional<LeafIndex> Without) const;
+  /// Median of the raw estimates of the group's other leafs; nothing when none
+  /// has answered.
+  std::optional<double> peersLog(LeafIndex Leaf) const;
   double logEstimate(TimePoint Now, LeafIndex Leaf) const;
   double cost(TimePoint Now, LeafIndex Leaf) const;
-  void learn(TimePoint Now, LeafIndex Leaf, Duration Latency);
-  std::optional<EjectionChange> ejectIfAllowed(TimePoint Now, LeafIndex Leaf);
-  std::optional<EjectionChange> judgeLatency(TimePoint Now, LeafIndex Leaf);
+  void learn(TimePoint Now, LeafIndex Leaf, double LogLatency);
+  bool slowForGroup(LeafIndex Leaf, double LogLatency) const;
+  std::optional<EjectionChange> eject(TimePoint Now, LeafIndex Leaf);
+  /// Ends ejections in groups that have no other usable replica left.
+  void restoreEmptyGroups();
   LeafIndex pick(TimePoint Now, std::span<const LeafIndex> Candidates);
-  std::optional<LeafIndex> dueProbe(TimePoint Now,
-                                    std::span<const LeafIndex> Candidates);
-  std::optional<LeafIndex> warmUp(TimePoint Now,
-                                  std::span<const LeafIndex> Candidates);
+  LeafIndex better(TimePoint Now, LeafIndex A, LeafIndex B);
+  std::optional<LeafIndex> dueProbe(TimePoint Now);
+  std::optional<LeafIndex> warmUp(TimePoint Now);
 
   std::shared_ptr<const Service> m_Service;
   FailureDomain m_Own;
--- /dev/null
+++ b/src/ragwortdrift/policy/coverage.cpp
@@ -0,0 +1,85 @@
+#include "ragwortdrift/policy/coverage.hpp"
+
+#include <algorithm>
+
+namespace ragwortdrift {
+
+std::uint32_t groupsAnswered(const FinishedAnswer &Answer) {
+  return static_cast<std::uint32_t>(Answer.m_Parts.size());
+}
+
+double coverageOf(const FinishedAnswer &Answer) {
+  return Answer.m_GroupsAsked == 0
+             ? 0
+             : static_cast<double>(groupsAnswered(Answer)) /
+                   Answer.m_GroupsAsked;
+}
+
+AnswerAssembly::AnswerAssembly(std::uint32_t Groups) : m_Parts(Groups) {}
+
+PartOutcome AnswerAssembly::add(AnswerPart Part) {
+  if (m_Finished)
+    return PartOutcome::Late;
+  if (Part.m_Group >= m_Parts.size())
+    return PartOutcome::UnknownGroup;
+  if (hasPart(Part.m_Group, Part.m_Snapshot))
+    return PartOutcome::Repeated;
+  m_Parts[Part.m_Group].push_back(std::move(Part));
+  return PartOutcome::Added;
+}
+
+bool AnswerAssembly::hasPart(GroupIndex Group, SnapshotVersion Snapshot) const {
+  const auto &Parts = m_Parts[Group];
+  return std::any_of(Parts.begin(), Parts.end(), [&](const AnswerPart &Part) {
+    return Part.m_Snapshot == Snapshot;
+  });
+}
+
+std::uint32_t AnswerAssembly::groupsWith(SnapshotVersion Snapshot) const {
+  std::uint32_t Count = 0;
+  for (GroupIndex Group = 0; Group < groupsAsked(); ++Group)
+    Count += hasPart(Group, Snapshot) ? 1 : 0;
+  return Count;
+}
+
+std::optional<SnapshotVersion> AnswerAssembly::bestSnapshot() const {
+  std::optional<SnapshotVersion> Best;
+  std::uint32_t BestCount = 0;
+  // Few versions are in use at once, so each part's version is counted anew
+  // only when it differs from the best one.
+  for (const auto &Parts : m_Parts)
+    for (const auto &Part : Parts) {
+      if (Best == Part.m_Snapshot)
+        continue;
+      const auto Count = groupsWith(Part.m_Snapshot);
+      if (Count > BestCount ||
+          (Count == BestCount && Part.m_Snapshot > *Best)) {
+        Best = Part.m_Snapshot;
+        BestCount = Count;
+      }
+    }
+  return Best;
+}
+
+FinishedAnswer AnswerAssembly::finish(std::optional<SnapshotVersion> Snapshot) {
+  FinishedAnswer Answer;
+  Answer.m_GroupsAsked = groupsAsked();
+  for (GroupIndex Group = 0; Group < groupsAsked(); ++Group) {
+    auto &Parts = m_Parts[Group];
+    const auto Found =
+        std::find_if(Parts.begin(), Parts.end(), [&](const AnswerPart &Part) {
+          return Snapshot == Part.m_Snapshot;
+        });
+    if (Found == Parts.end())
+      Answer.m_Missing.push_back(Group);
+    else
+      Answer.m_Parts.push_back(std::move(*Found));
+    Parts.clear();
+  }
+  if (!Answer.m_Parts.empty())
+    Answer.m_Snapshot = Snapshot;
+  m_Finished = true;
+  return Answer;
+}
+
+} // namespace ragwortdrift
