--- a/src/ragwortdrift/tools/load/record_check.cpp
+++ b/src/ragwortdrift/tools/load/record_check.cpp
@@ -14,8 +14,8 @@
   std::set<std::string, std::less<>> Ran;
   for (const auto &Leaf : Leafs) {
     const auto &Object = Leaf.as_object();
-    const std::string Group(Object.at("service").as_string() + "/" +
-                            Object.at("group").as_string());
+    const std::string Group = std::string(Object.at("service").as_string()) +
+                              "/" + std::string(Object.at("group").as_string());
     for (const auto &Line : Object.at("records").as_array()) {
       const auto &Record = Line.as_object();
       const std::string Id(Record.at("id").as_string());
