--- a/include/ragwortdrift/config/catalog.hpp
+++ b/include/ragwortdrift/config/catalog.hpp
@@ -113,6 +113,9 @@
 /// about the 756 connections a VM may hold at the target size.
 inline constexpr std::size_t MaxLeafsPerPartition = 31;
 
+/// The limits of a checked document; defaults for what it does not set.
+Limits limitsOf(const Document &Doc);
+
 /// Builds the catalog of a document that parseManifest or the replicated state
 /// has checked.
 std::shared_ptr<const Catalog> buildCatalog(Revision Rev, const Document &Doc);
--- a/src/ragwortdrift/config/catalog.cpp
+++ b/src/ragwortdrift/config/catalog.cpp
@@ -65,7 +65,7 @@
     Target.m_Groups.push_back({Name, std::move(Leafs)});
   for (const auto &[Domain, ByGroup] : Domains) {
     std::uint32_t Slice = 0;
-    const auto Open = [&] {
+    const auto Open = [&, &Domain = Domain] {
       Target.m_Partitions.push_back({Target.m_Name.m_Value + "/" +
                                          Domain.m_Value + "/" +
                                          std::to_string(Slice++),
@@ -121,7 +121,9 @@
           textAt(Values, "disk") == "yes"};
 }
 
-Limits buildLimits(const Document &Doc) {
+} // namespace
+
+Limits limitsOf(const Document &Doc) {
   Limits Built;
   const auto Found = Doc.find({SectionKind::Limits, ""});
   if (Found == Doc.end())
@@ -130,12 +132,16 @@
   Built.m_MaxInFlight = integerAt(Values, "max_in_flight", Built.m_MaxInFlight);
   Built.m_MaxBodyBytes =
       integerAt(Values, "max_body_bytes", Built.m_MaxBodyBytes);
-  Built.m_ClaimRetention = std::chrono::hours(
-      integerAt(Values, "claim_retention_h", Built.m_ClaimRetention.count()));
+  // The replicated state computes with it, so no document may make it overflow.
+  Built.m_ClaimRetention = std::chrono::hours(std::clamp<std::int64_t>(
+      integerAt(Values, "claim_retention_h", Built.m_ClaimRetention.count()), 1,
+      8760));
   Built.m_HedgeRatio = decimalAt(Values, "hedge_ratio", Built.m_HedgeRatio);
   return Built;
 }
 
+namespace {
+
 /// The leafs of each service in Names, in name order.
 std::map<ServiceName, std::vector<Leaf>>
 collectLeafs(const Document &Doc, const std::set<ServiceName> &Names) {
@@ -174,7 +180,7 @@
       Target.m_Vms.erase(VmId{Key.m_Name});
     break;
   case SectionKind::Limits:
-    Target.m_Limits = buildLimits(Doc);
+    Target.m_Limits = limitsOf(Doc);
     break;
   case SectionKind::Manifest:
   case SectionKind::Service:
--- /dev/null
+++ b/src/ragwortdrift/config/config_fuzz_test.cpp
@@ -0,0 +1,166 @@
+#include "ragwortdrift/config/catalog.hpp"
+#include "ragwortdrift/config/manifest.hpp"
+#include "ragwortdrift/config/settings.hpp"
+#include "ragwortdrift/testing/random_document.hpp"
+#include "ragwortdrift/testing/table.hpp"
+
+#include <sstream>
+
+using namespace ragwortdrift;
+using namespace ragwortdrift::testing;
+
+namespace {
+
+const int Seeds[] = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16};
+
+/// Every value of a service as text.
+std::string show(const Service &S) {
+  std::ostringstream Out;
+  Out << S.m_Name << nameOf(S.m_Kind) << ' ' << S.m_Slots << ' '
+      << S.m_Connections << ' ' << S.m_Rate << ' ' << S.m_ColdFraction << ' '
+      << S.m_Deadline.count() << '\n';
+  for (const Leaf &L : S.m_Leafs)
+    Out << L.m_Id << ' ' << L.m_Group << ' ' << L.m_Domain << ' '
+        << formatEndpoint(L.m_Address) << ' ' << L.m_Draining << ' '
+        << L.m_Partition << '\n';
+  const auto List = [&](const std::vector<std::uint32_t> &Leafs) {
+    for (const auto I : Leafs)
+      Out << ' ' << I;
+    Out << '\n';
+  };
+  for (const Group &G : S.m_Groups) {
+    Out << G.m_Name;
+    List(G.m_Leafs);
+  }
+  for (const Partition &P : S.m_Partitions) {
+    Out << P.m_Key << P.m_Domain;
+    List(P.m_Leafs);
+  }
+  return Out.str();
+}
+
+std::string show(const Catalog &C) {
+  std::ostringstream Out;
+  Out << C.m_Revision << '\n';
+  for (const auto &[Name, S] : C.m_Services)
+    Out << Name << ' ' << show(*S);
+  for (const auto &[Id, V] : C.m_Vms)
+    Out << Id << V.m_Id << V.m_Domain << formatEndpoint(V.m_Control)
+        << formatEndpoint(V.m_Relay) << formatEndpoint(V.m_Admin) << V.m_HasDisk
+        << '\n';
+  for (const auto &Domain : C.m_Domains)
+    Out << Domain << ' ' << C.m_DomainsOut.contains(Domain) << '\n';
+  Out << C.m_DomainsOut.size() << ' ' << C.m_Limits.m_ClaimRetention.count();
+  return Out.str();
+}
+
+/// A manifest with orders and VMs, or From with a few sections changed.
+Document randomNext(Random &Rng, const Document &From) {
+  Document Next = randomManifest(Rng);
+  if (Rng() % 4)
+    for (const auto &[Key, Values] : From)
+      if (Rng() % 10)
+        Next.insert_or_assign(Key, Values);
+  for (int I = 0; I < 3; ++I) {
+    const SectionKey Order{SectionKind::LeafOrder, numbered("l", Rng() % 12)};
+    const SectionKey Out{SectionKind::DomainOrder, numbered("d", Rng() % 3)};
+    const SectionKey Machine{SectionKind::Vm, numbered("v", Rng() % 3)};
+    Next[Order] = {{"state", "drain"}};
+    Next[Out] = {{"state", "out"}};
+    Next[Machine] = {{"domain", numbered("d", Rng() % 3)},
+                     {"control", "127.0.0.1:1"},
+                     {"relay", "127.0.0.1:2"},
+                     {"admin", "127.0.0.1:3"},
+                     {"disk", Rng() % 2 ? "yes" : "no"}};
+    if (Rng() % 2)
+      Next.erase(Order);
+    if (Rng() % 2)
+      Next.erase(Out);
+    if (Rng() % 2)
+      Next.erase(Machine);
+  }
+  return Next;
+}
+
+} // namespace
+
+// Guards against VMs that follow deltas and end up with another configuration
+// than the voters, and against rebuilding what a delta does not touch.
+TABLE_TEST(config_fuzz, deltas_lead_to_the_same_catalog, Seeds) {
+  Random Rng(Row);
+  Document Followed;
+  auto Current = buildCatalog(Revision{0}, Followed);
+  for (std::uint64_t Step = 0; Step < 200; ++Step) {
+    const Document Next = randomNext(Rng, Followed);
+    const auto Change =
+        decode<Delta>(encode(diffDocuments(Revision{Step}, Followed, Next)));
+    cr_assert(isOk(Change));
+    applyDelta(Followed, valueOf(Change));
+    cr_assert(Followed == Next, "seed %d step %d", Row, int(Step));
+    const auto Previous = Current;
+    Current = updateCatalog(*Previous, Followed, valueOf(Change));
+    const auto Fresh = buildCatalog(Revision{Step + 1}, Next);
+    cr_assert(show(*Current) == show(*Fresh), "seed %d step %d\n%s\n--\n%s",
+              Row, int(Step), show(*Current).c_str(), show(*Fresh).c_str());
+  }
+}
+
+// Guards against a delta that rebuilds services it does not touch.
+TABLE_TEST(config_fuzz, untouched_services_are_shared, Seeds) {
+  Random Rng(Row);
+  Document Doc = randomManifest(Rng);
+  const auto Before = buildCatalog(Revision{1}, Doc);
+  for (const auto &[Name, Each] : Before->m_Services) {
+    const LeafId &Drained = Each->m_Leafs.front().m_Id;
+    const Delta Change{
+        Revision{1},
+        {{{SectionKind::LeafOrder, Drained.m_Value}, {{"state", "drain"}}},
+         {{SectionKind::Customer, "c0"}, {{"a", "b"}}}},
+        {}};
+    Document Next = Doc;
+    applyDelta(Next, Change);
+    const auto After = updateCatalog(*Before, Next, Change);
+    for (const auto &[Other, Service] : After->m_Services)
+      cr_assert_eq(Service == Before->m_Services.at(Other), Other != Name,
+                   "seed %d", Row);
+  }
+}
+
+// Guards against a manifest that changes when it is printed and submitted
+// again.
+TABLE_TEST(config_fuzz, manifest_text_round_trip, Seeds) {
+  Random Rng(Row);
+  for (int Step = 0; Step < 50; ++Step) {
+    const Document Doc = randomManifest(Rng);
+    Document WithOrders = Doc;
+    WithOrders[{SectionKind::DomainOrder, "d0"}] = {{"state", "out"}};
+    const auto Parsed = parseManifest(formatManifest(WithOrders));
+    cr_assert(isOk(Parsed), "seed %d step %d: %s", Row, Step,
+              describe(errorOf(Parsed).front()).c_str());
+    cr_assert(valueOf(Parsed) == Doc, "seed %d step %d", Row, Step);
+  }
+}
+
+// Guards against text that crashes the reader or is accepted and then not read
+// back as the same document.
+TABLE_TEST(config_fuzz, damaged_manifest_text, Seeds) {
+  Random Rng(Row);
+  for (int Step = 0; Step < 200; ++Step) {
+    std::string Text = formatManifest(randomManifest(Rng));
+    for (auto Edits = 1 + Rng() % 3; Edits > 0; --Edits) {
+      const auto At = Rng() % Text.size();
+      if (Rng() % 2)
+        Text.erase(At, 1 + Rng() % 8);
+      else
+        Text.insert(At, 1, "[]=\n #;\r\x01\xffz9"[Rng() % 12]);
+    }
+    const auto Parsed = parseManifest(Text);
+    if (!isOk(Parsed)) {
+      cr_assert(!errorOf(Parsed).empty());
+      continue;
+    }
+    const auto Again = parseManifest(formatManifest(valueOf(Parsed)));
+    cr_assert(isOk(Again) && valueOf(Again) == valueOf(Parsed),
+              "seed %d step %d:\n%s", Row, Step, Text.c_str());
+  }
+}
