--- a/src/ragwortdrift/state/state_fuzz_test.cpp
+++ b/src/ragwortdrift/state/state_fuzz_test.cpp
@@ -272,8 +272,10 @@
     // A caller keeps the time of issue of its key.
     const auto Issued =
         m_Issued
-            .try_emplace(Key, m_Clock + std::chrono::seconds(m_Rng() % 400) -
-                                  std::chrono::minutes(m_Rng() % 60))
+            .try_emplace(Key,
+                         m_Rng() % 4
+                             ? m_Clock - std::chrono::minutes(m_Rng() % 60)
+                             : m_Clock + std::chrono::seconds(m_Rng() % 400))
             .first->second;
     return ClaimBooking{std::move(Key),           m_Rng() % 10 ? 7u : 8u,
                         ServiceName{"s"},         holder(),
