--- a/src/ragwortdrift/membership/config_follower_test.cpp
+++ b/src/ragwortdrift/membership/config_follower_test.cpp
@@ -1,3 +1,4 @@
+#include "ragwortdrift/base/hash.hpp"
 #include "ragwortdrift/membership/config_follower.hpp"
 #include "ragwortdrift/testing/table.hpp"
 
@@ -89,7 +90,8 @@
     const auto Id = m_NextMessage++;
     // Messages of a stream keep their order.
     TimePoint &Last = m_LastArrival[{From, To}];
-    Last = std::max(Last, m_Timers.now() + Duration(500 + m_Random() % 4500));
+    Last = std::max(Last,
+                    m_Timers.now() + Duration(500 + m_Random() % m_MaxDelay));
     m_InFlight[Id] = m_Timers.after(
         Last - m_Timers.now(),
         [this, From, To, Id, Since = m_Nodes[To].m_Since, Fn = std::move(Fn)] {
@@ -172,6 +174,7 @@
   std::vector<TimePoint> m_Published;
   std::vector<Delta> m_History;
   double m_Loss = 0;
+  std::uint64_t m_MaxDelay = 4'500;
   TimerService::Subscription m_Confirm, m_Detect;
   std::map<std::uint64_t, TimerService::Subscription> m_InFlight;
   std::map<std::pair<std::size_t, std::size_t>, TimePoint> m_LastArrival;
@@ -184,12 +187,15 @@
   double m_Loss;
   /// Mean restarts, losses and cuts a second among the 400 VMs.
   double m_Faults;
+  /// Microseconds.
+  std::uint64_t m_MaxDelay = 4'500;
 };
 const TreeCase Trees[] = {{"no faults", 1, 0, 0},
                           {"lost messages", 2, 0.02, 0},
                           {"lost VMs and restarts", 3, 0, 0.5},
                           {"all", 4, 0.02, 0.5},
-                          {"all", 5, 0.02, 0.5}};
+                          {"all", 5, 0.02, 0.5},
+                          {"slow network", 6, 0, 0.5, 300'000}};
 
 } // namespace
 
@@ -198,6 +204,7 @@
 TABLE_TEST(config_follower, reaches_all_within_8_s, Trees) {
   Tree T(400, Row.m_Seed);
   T.m_Loss = Row.m_Loss;
+  T.m_MaxDelay = Row.m_MaxDelay;
   T.run(5s);
   std::size_t Stale = 0, Checks = 0;
   Duration Worst{0};
@@ -269,6 +276,57 @@
   cr_expect(T.check(9) == 0);
 }
 
+// Guards against children that stay with a dead parent: membership never
+// reports the loss of the root and of half of its children.
+Test(config_follower, silent_parents_are_replaced) {
+  for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
+    Tree T(60, Seed);
+    T.run(5s);
+    T.m_Detect.reset();
+    auto Order = rendezvousOrder("config/d", T.m_Members);
+    for (const std::size_t Place : {0, 1, 2, 3, 4}) {
+      auto &N = T.m_Nodes[std::stoul(Order[Place].m_Value.substr(3))];
+      N.m_Follower.reset();
+      N.m_Source.reset();
+    }
+    for (int Step = 0; Step < 200; ++Step) {
+      if (Step % 14 == 0)
+        T.publish();
+      T.run(100ms);
+      T.check(Seed);
+    }
+  }
+}
+
+// Guards against a revision that goes back or skips, and against an age that
+// belongs to a newer revision than the one held.
+struct ApplyCase {
+  std::uint64_t m_Base;
+  bool m_Applies;
+};
+static const ApplyCase Applies[] = {{4, false}, {5, true}, {6, false}};
+TABLE_TEST(config_follower, applies_only_on_its_base, Applies) {
+  TimerService Timers;
+  ConfigSource Source(Timers);
+  cr_assert(Source.install(Revision(5), {}));
+  cr_expect(!Source.install(Revision(5), {{CounterKey, {}}}));
+  cr_expect(!Source.install(Revision(4), {{CounterKey, {}}}));
+  cr_expect(Source.document().empty());
+  const Delta Change{Revision(Row.m_Base), {{CounterKey, {}}}, {}};
+  cr_expect(Source.apply(Change) == Row.m_Applies);
+  cr_expect(Source.document().empty() != Row.m_Applies);
+  cr_expect(Source.revision() == Revision(Row.m_Applies ? 6 : 5));
+  ConfigFollower Follower(
+      Timers, VmId("a"), FailureDomain("d"), Source,
+      [](const VmId &, std::string) {},
+      [](Revision, const Document &, const std::vector<Delta> &) {});
+  Follower.setMembers({}, {VmId("v")});
+  const ConfigAnswer Newer{1, ConfigAnswerKind::NoChange, Revision(9),
+                           Duration{0}};
+  cr_assert(isOk(Follower.receive(VmId("v"), encode(Newer))));
+  cr_expect(Follower.isStale());
+}
+
 // Guards against documents above the limit on messages and against a child
 // that is too far behind for deltas, also when parts are lost.
 struct LargeCase {
--- a/src/ragwortdrift/membership/lease_test.cpp
+++ b/src/ragwortdrift/membership/lease_test.cpp
@@ -96,7 +96,7 @@
         m_Faults ? (chance(m_Loss) ? 0 : 1 + chance(m_Repeat)) : 1;
     for (int I = 0; I < Copies; ++I) {
       const Duration Delay = m_Faults && chance(m_Late)
-                                 ? Duration(m_Random() % 3'000'000)
+                                 ? Duration(m_Random() % m_MaxDelay)
                                  : Duration(500 + m_Random() % 1500);
       m_Network.emplace(m_Now + Delay, [this, From, To, ToTable, Bytes] {
         deliver(From, To, ToTable, Bytes);
@@ -204,6 +204,7 @@
   std::multimap<TimePoint, std::function<void()>> m_Network;
   bool m_Faults = false;
   double m_Loss = 0.1, m_Repeat = 0.1, m_Late = 0.2;
+  std::uint64_t m_MaxDelay = 3'000'000;
 };
 
 struct GrantorCase {
@@ -260,6 +261,9 @@
       return Count;
     };
     W.m_Faults = true;
+    // Delays from a fraction of the lease period to twice the period.
+    W.m_MaxDelay = 500'000 + W.m_Random() % 2'500'000;
+    W.m_Late = 0.1 + 0.1 * static_cast<double>(W.m_Random() % 8);
     for (int Step = 0; Step < 25'000; ++Step) {
       if (W.chance(0.002))
         W.randomFault();
