--- a/include/ragwortdrift/policy/hedge.hpp
+++ b/include/ragwortdrift/policy/hedge.hpp
@@ -30,6 +30,14 @@
 };
 
 /// When to hedge. One object a service and traffic thread.
+///
+/// The delay is the larger of two values. The first is a quantile of the
+/// service's leaf latency, 0.95 while the budget is full and 0.98 while it is
+/// empty (for a ratio of 0.05). A fixed p95 hedges 5% of the requests without
+/// any fault, which spends the whole budget and leaves none for a replica that
+/// becomes slow. The second is twice the median: in an ordinary latency
+/// distribution an answer at p95 comes soon anyway, so a hedge adds load
+/// without a gain.
 class HedgePolicy {
 public:
   /// The latency of a first request as the entry VM saw it; for a cancelled one
@@ -38,7 +46,8 @@
   /// Requests waiting for each slot, from an owner's report.
   void onQueue(TimePoint Now, double QueuePerSlot);
 
-  /// How long to wait for a group before a hedge; nothing when hedging is off:
+  /// How long to wait for a group before a hedge, shorter (p90) for replicas
+  /// that were not chosen as the best; nothing when hedging is off:
   /// too few samples, or the owners' queues are above 2 a slot.
   std::optional<Duration> delay(TimePoint Now, const HedgeBudget &Budget,
                                 ChoiceKind Kind = ChoiceKind::Normal) const;
--- a/include/ragwortdrift/policy/replica_choice.hpp
+++ b/include/ragwortdrift/policy/replica_choice.hpp
@@ -49,6 +49,12 @@
   bool m_Ejected = false;
 };
 
+/// The index of a leaf in another version of its service; nothing when it is no
+/// longer listed. A request that is in flight while the catalog changes ends
+/// with an index of the old version.
+std::optional<LeafIndex> sameLeaf(const Service &From, LeafIndex Leaf,
+                                  const Service &To);
+
 /// Chooses the replica of each group at an entry VM. One object a service and
 /// traffic thread. Latency estimates follow what answers show; a replica that
 /// is not used moves back to its group's median with a half-life of 10 s, so
--- a/src/ragwortdrift/policy/hedge.cpp
+++ b/src/ragwortdrift/policy/hedge.cpp
@@ -8,6 +8,11 @@
 constexpr double EnoughSamples = 50;
 constexpr double SaturatedQueue = 2;
 constexpr double QueueWeight = 0.1;
+/// Share of the budget's ratio that is hedged while the bucket is empty.
+constexpr double EmptyBudgetShare = 0.4;
+constexpr int MedianFactor = 2;
+/// Probes and warm-up requests go to replicas that are likely to be slow.
+constexpr double EarlyQuantile = 0.9;
 constexpr Duration MinDelay = std::chrono::milliseconds(1);
 
 } // namespace
@@ -17,8 +22,6 @@
 }
 
 bool HedgeBudget::tryTake() {
-  // The ratio is not exact in binary; the tolerance stands for the rounding of
-  // many sums and cannot add up to a request.
   if (m_Tokens < 1)
     return false;
   m_Tokens -= 1;
@@ -38,13 +41,18 @@
                                            ChoiceKind Kind) const {
   if (saturated())
     return std::nullopt;
-  double Q = 1 - Budget.ratio() * (0.4 + 0.6 * Budget.level());
-  if (Kind != ChoiceKind::Normal)
-    Q = 0.9;
-  const auto Delay = m_Latency.quantile(Now, Q, EnoughSamples);
-  if (!Delay)
+  if (Kind != ChoiceKind::Normal) {
+    const auto Early = m_Latency.quantile(Now, EarlyQuantile, EnoughSamples);
+    return Early ? std::optional(std::max(*Early, MinDelay)) : std::nullopt;
+  }
+  const double Hedged =
+      Budget.ratio() *
+      (EmptyBudgetShare + (1 - EmptyBudgetShare) * Budget.level());
+  const auto Quantile = m_Latency.quantile(Now, 1 - Hedged, EnoughSamples);
+  const auto Median = m_Latency.quantile(Now, 0.5, EnoughSamples);
+  if (!Quantile || !Median)
     return std::nullopt;
-  return std::max(*Delay, MinDelay);
+  return std::max({*Quantile, MedianFactor * *Median, MinDelay});
 }
 
 bool HedgePolicy::saturated() const { return m_Queue > SaturatedQueue; }
--- /dev/null
+++ b/src/ragwortdrift/policy/leaf_lifecycle_test.cpp
@@ -0,0 +1,149 @@
+#include "policy_fixture.hpp"
+#include "ragwortdrift/testing/table.hpp"
+
+using namespace ragwortdrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration Reference = 5ms;
+
+/// One letter an answer: o in time, c in time with Rd-Cold, b from a new
+/// process, s shed, w slow, f failed, l leaving, x cancelled early, y cancelled
+/// when slow; p sends a probe 40 s later.
+void play(LeafLifecycle &Leaf, const char *Script) {
+  TimePoint Now;
+  std::string BootId = "1";
+  for (; *Script != 0; ++Script, Now = Now + 10ms) {
+    LeafAnswer Answer{LeafAnswerKind::Answered, 5ms, BootId, false, false};
+    switch (*Script) {
+    case 'c':
+      Answer.m_Cold = true;
+      break;
+    case 'b':
+      BootId += "1";
+      Answer.m_BootId = BootId;
+      break;
+    case 's':
+      Answer.m_Kind = LeafAnswerKind::Shed;
+      break;
+    case 'w':
+      Answer.m_Latency = 26ms;
+      break;
+    case 'f':
+      Answer.m_Kind = LeafAnswerKind::Failed;
+      Answer.m_BootId = {};
+      break;
+    case 'l':
+      Answer.m_Leaving = true;
+      break;
+    case 'x':
+    case 'y':
+      Answer.m_Kind = LeafAnswerKind::Cancelled;
+      Answer.m_Latency = *Script == 'x' ? 2ms : 30ms;
+      Answer.m_BootId = {};
+      break;
+    case 'p':
+      Now = Now + 40s;
+      cr_assert(Leaf.probeDue(Now));
+      Leaf.onProbeSent(Now);
+      cr_assert(!Leaf.probeDue(Now));
+      continue;
+    }
+    Leaf.onAnswer(Now, Answer, Reference);
+  }
+}
+
+struct ScriptCase {
+  const char *m_Name;
+  bool m_Warm;
+  const char *m_Script;
+  LeafState m_Expected;
+};
+const ScriptCase ScriptCases[] = {
+    {"unknown leaf", false, "", LeafState::Cold},
+    {"known warm", true, "", LeafState::Serving},
+    {"cold header", true, "oc", LeafState::Cold},
+    {"new process", true, "ooob", LeafState::Cold},
+    {"one shed", true, "osoooooooo", LeafState::Serving},
+    {"two sheds in ten", true, "osooooooos", LeafState::Cold},
+    {"two sheds far apart", true, "osoooooooooos", LeafState::Serving},
+    {"seven slow of ten", true, "wwwwwwwooo", LeafState::Serving},
+    {"eight slow of ten", true, "wwwowwwoww", LeafState::Cold},
+    {"slow cancelled", true, "yyyyyyyy", LeafState::Cold},
+    {"early cancellations", true, "xxxxxxxxxxxx", LeafState::Serving},
+    {"four failures", true, "ffffofffff", LeafState::Ejected},
+    {"failures with answers between", true, "ffffoffffoffff",
+     LeafState::Serving},
+    {"cancellation between failures", true, "ooffxfff", LeafState::Ejected},
+    {"probe answered by the same process", true, "offfffpo",
+     LeafState::Serving},
+    {"probe answered by a new process", true, "offfffpb", LeafState::Cold},
+    {"probe failed", true, "offfffpfpf", LeafState::Ejected},
+    {"probe of a leaf that was cold", false, "ofooffffffpo", LeafState::Cold},
+    {"leaving", true, "ol", LeafState::Draining},
+    {"answers of a leaving leaf", true, "olooobc", LeafState::Draining},
+};
+
+struct ReturnCase {
+  const char *m_Name;
+  std::vector<LeafHealthHint> m_Hints; // One a second.
+  LeafState m_Expected;
+};
+const ReturnCase ReturnCases[] = {
+    {"lagging endpoint",
+     {{true, false, "1"}, {true, false, "1"}},
+     LeafState::Draining},
+    {"new process", {{true, false, "2"}}, LeafState::Cold},
+    {"new process that leaves too", {{true, true, "2"}}, LeafState::Draining},
+    {"unreachable, then back",
+     {{false, false, ""}, {true, false, ""}},
+     LeafState::Cold},
+    {"stays for 30 s", std::vector<LeafHealthHint>(31, {true, false, "1"}),
+     LeafState::Cold},
+};
+
+} // namespace
+
+// Guards against a cold start that is missed, against a warm leaf that is taken
+// for cold because of single bad answers, and against a cold leaf that becomes
+// serving through an ejection.
+TABLE_TEST(leaf_lifecycle, follows_answers, ScriptCases) {
+  LeafLifecycle Leaf(leafChart());
+  if (Row.m_Warm)
+    Leaf.setKnownWarm("1");
+  play(Leaf, Row.m_Script);
+  cr_assert_eq(Leaf.state(), Row.m_Expected, "%s: %s", Row.m_Name,
+               nameOf(Leaf.state()).data());
+}
+
+// Guards against a leaving leaf that gets work again because its health
+// endpoint lags, and against one that never returns.
+TABLE_TEST(leaf_lifecycle, returns_after_leaving, ReturnCases) {
+  LeafLifecycle Leaf(leafChart());
+  play(Leaf, "ol");
+  TimePoint Now{1h};
+  for (const auto &Hint : Row.m_Hints) {
+    Leaf.onHealthHint(Now, Hint);
+    Now = Now + 1s;
+  }
+  cr_assert_eq(Leaf.state(), Row.m_Expected, "%s", Row.m_Name);
+}
+
+// Guards against a leaf that an order keeps out and that returns by itself, or
+// that returns as warm.
+Test(leaf_lifecycle, stays_out_while_ordered) {
+  LeafLifecycle Leaf(leafChart());
+  Leaf.setKnownWarm("1");
+  const auto Out = Leaf.setOrderedOut(true);
+  cr_assert(Out && Out->m_Event == LeafEvent::OrderedOut);
+  play(Leaf, "ol");
+  Leaf.onHealthHint(TimePoint{1h}, {true, false, "2"});
+  cr_assert_eq(Leaf.state(), LeafState::Draining);
+  Leaf.setListed(false);
+  Leaf.setListed(true);
+  cr_assert_eq(Leaf.state(), LeafState::Draining);
+  Leaf.setOrderedOut(false);
+  cr_assert_eq(Leaf.state(), LeafState::Cold);
+  cr_assert(!Leaf.setKnownWarm("2"));
+}
--- a/src/ragwortdrift/policy/replica_choice.cpp
+++ b/src/ragwortdrift/policy/replica_choice.cpp
@@ -12,6 +12,10 @@
 /// half learned after 7 answers.
 constexpr double SampleWeight = 0.1;
 constexpr std::uint32_t EnoughSamples = 10;
+/// A cancelled request would have taken longer than it was waited for. Without
+/// the factor 2 a slow replica that is always hedged seems less than 3 times as
+/// slow as its group and is never ejected.
+const double CancelledLogFactor = std::log(2.0);
 constexpr Duration ReturnHalfLife = std::chrono::seconds(10);
 constexpr double DomainTolerance = 1.2;
 constexpr std::uint32_t FailureLimit = 5;
@@ -311,7 +315,7 @@
   const double LogLatency = toLog(Waited);
   if (S.m_Ejected || LogLatency <= logEstimate(Now, Leaf))
     return std::nullopt;
-  learn(Now, Leaf, LogLatency);
+  learn(Now, Leaf, LogLatency + CancelledLogFactor);
   if (S.m_Samples >= EnoughSamples && slowForGroup(Leaf, S.m_LogLatency))
     return eject(Now, Leaf);
   return std::nullopt;
@@ -348,4 +352,15 @@
   Micros = Micros == 0 ? Sample : Micros + (Sample - Micros) * SampleWeight;
 }
 
+std::optional<LeafIndex> sameLeaf(const Service &From, LeafIndex Leaf,
+                                  const Service &To) {
+  if (&From == &To)
+    return Leaf;
+  const auto &Id = From.m_Leafs[Leaf].m_Id;
+  for (std::size_t I = 0; I < To.m_Leafs.size(); ++I)
+    if (To.m_Leafs[I].m_Id == Id)
+      return static_cast<LeafIndex>(I);
+  return std::nullopt;
+}
+
 } // namespace ragwortdrift
