--- a/include/ragwortdrift/policy/admission.hpp
+++ b/include/ragwortdrift/policy/admission.hpp
@@ -65,8 +65,9 @@
   void setMax(std::uint32_t Max);
 
 private:
-  /// Every 10 s under load the limit is halved for two windows: one to empty
-  /// the queue, one to measure the unloaded latency.
+  /// Under load the limit is lowered every 10 s for some 100 ms, to empty the
+  /// queue and then to measure the unloaded latency. Otherwise a limit that was
+  /// too high when the load began would take its own queue for unloaded.
   enum class Phase : std::uint8_t { Normal, Emptying, Measuring };
 
   void closeWindow(TimePoint Now);
@@ -83,7 +84,8 @@
   /// Latency without queueing in us; 0 while unknown.
   double m_Unloaded = 0;
   Phase m_Phase = Phase::Normal;
-  TimePoint m_ProbedAt;
+  TimePoint m_ProbeAt;
+  Duration m_EmptyingTime{0};
 };
 
 } // namespace ragwortdrift
--- a/src/ragwortdrift/policy/admission.cpp
+++ b/src/ragwortdrift/policy/admission.cpp
@@ -15,7 +15,15 @@
 constexpr double UnloadedWeight = 0.1;
 /// Share of queries refused by owners from which the limit falls.
 constexpr double OverloadedShare = 0.1;
+/// The unloaded latency is probed at the first interval after it has changed by
+/// more than ProbeChange, otherwise at the second.
+constexpr Duration ShortProbeInterval = std::chrono::seconds(1);
 constexpr Duration ProbeInterval = std::chrono::seconds(10);
+constexpr double ProbeChange = 1.5;
+constexpr Duration ProbeWindow = std::chrono::milliseconds(50);
+/// A quarter of the limit empties the queue: the limit allows a queue as long
+/// as the work in progress, and growth adds to it.
+constexpr double ProbeDivisor = 4;
 
 double shareOf(Priority P) {
   switch (P) {
@@ -34,12 +42,10 @@
 AdmissionLimit::AdmissionLimit(Bounds B) : m_Bounds(B), m_Limit(B.m_Initial) {}
 
 std::uint32_t AdmissionLimit::limit() const {
-  // Half of the limit empties the queue, so that a probe sees the latency
-  // without it.
-  const double Limit =
-      m_Phase == Phase::Normal
-          ? m_Limit
-          : std::max(m_Limit / 2, static_cast<double>(m_Bounds.m_Min));
+  const double Limit = m_Phase == Phase::Normal
+                           ? m_Limit
+                           : std::max(m_Limit / ProbeDivisor,
+                                      static_cast<double>(m_Bounds.m_Min));
   return static_cast<std::uint32_t>(Limit);
 }
 
@@ -68,28 +74,38 @@
 }
 
 void AdmissionLimit::closeWindow(TimePoint Now) {
-  if (Now - m_WindowStart < Window || m_Samples < EnoughSamples)
+  const Duration Length = m_Phase == Phase::Normal     ? Window
+                          : m_Phase == Phase::Emptying ? m_EmptyingTime
+                                                       : ProbeWindow;
+  if (Now - m_WindowStart < Length || m_Samples < EnoughSamples)
     return;
   const double Mean = std::max(1.0, m_LatencySum / m_Samples);
   const double Peak = m_PeakInFlight;
   const bool Refusing = m_Overloaded > OverloadedShare * m_Samples;
-  if (m_Unloaded == 0 || Mean < m_Unloaded)
-    m_Unloaded = Mean;
   switch (m_Phase) {
   case Phase::Normal:
-    if (Peak < m_Limit / 2 && !Refusing)
+    if (m_Unloaded == 0 || Mean < m_Unloaded)
+      m_Unloaded = Mean;
+    else if (Peak < m_Limit / 2 && !Refusing)
       m_Unloaded += (Mean - m_Unloaded) * UnloadedWeight;
     adjust(Mean, Peak, Refusing);
-    if (Now - m_ProbedAt >= ProbeInterval && Peak >= m_Limit * 0.8)
+    if (Now >= m_ProbeAt && Peak >= m_Limit * 0.8) {
       m_Phase = Phase::Emptying;
+      m_EmptyingTime =
+          std::max(ProbeWindow, Duration{static_cast<std::int64_t>(Mean)});
+    }
     break;
   case Phase::Emptying:
     m_Phase = Phase::Measuring;
     break;
-  case Phase::Measuring:
+  case Phase::Measuring: {
+    const double Change =
+        std::max(Mean, m_Unloaded) / std::min(Mean, m_Unloaded);
     m_Unloaded = Mean;
     m_Phase = Phase::Normal;
-    m_ProbedAt = Now;
+    m_ProbeAt =
+        Now + (Change > ProbeChange ? ShortProbeInterval : ProbeInterval);
+  }
   }
   m_WindowStart = Now;
   m_PeakInFlight = m_InFlight;
--- /dev/null
+++ b/src/ragwortdrift/policy/admission_test.cpp
@@ -0,0 +1,150 @@
+#include "ragwortdrift/policy/admission.hpp"
+#include "ragwortdrift/testing/table.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <queue>
+#include <random>
+
+using namespace ragwortdrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration Deadline = 240ms;
+
+/// What the model is run with: a number of workers that take queries in the
+/// order of arrival, with an exponential service time.
+struct LoadCase {
+  const char *m_Name;
+  unsigned m_Seed;
+  int m_Workers;
+  Duration m_ServiceTime;
+  double m_Load;
+  /// The service time is multiplied by this after half of the time.
+  double m_Change;
+};
+const LoadCase LoadCases[] = {
+    {"many workers", 1, 40, 5ms, 2, 1},
+    {"many workers", 2, 40, 5ms, 2, 1},
+    {"few workers", 3, 4, 10ms, 2, 1},
+    {"few workers", 4, 4, 10ms, 2, 1},
+    {"four times the capacity", 5, 40, 5ms, 4, 1},
+    {"service becomes four times as slow", 6, 40, 5ms, 2, 4},
+    {"service becomes four times as fast", 7, 40, 20ms, 2, 0.25},
+    {"just below the capacity", 8, 40, 5ms, 0.95, 1},
+};
+
+struct Goodput {
+  double m_Share = 0; // Answers in time / what the workers can do at most.
+  std::array<int, 3> m_Offered{}, m_Admitted{};
+};
+
+/// Runs 60 s and measures after 10 s and, with a change, again 10 s after it.
+Goodput run(const LoadCase &Case, bool Limited) {
+  std::mt19937 Random(Case.m_Seed);
+  AdmissionLimit Limit({4, 2000, 50});
+  struct Query {
+    TimePoint m_Start;
+  };
+  using Finish = std::pair<TimePoint, TimePoint>; // End and start.
+  std::priority_queue<Finish, std::vector<Finish>, std::greater<>> Running;
+  std::deque<TimePoint> Waiting;
+  Goodput Result;
+  double Possible = 0;
+  int InTime = 0;
+  const TimePoint End{60s};
+  const auto ServiceTime = [&](TimePoint Now) {
+    const double Factor = Now >= TimePoint{30s} ? Case.m_Change : 1;
+    return static_cast<double>(Case.m_ServiceTime.count()) * Factor;
+  };
+  const auto Measured = [](TimePoint Now) {
+    return (Now >= TimePoint{10s} && Now < TimePoint{30s}) ||
+           Now >= TimePoint{40s};
+  };
+  const auto Draw = [&](double Mean) {
+    return Duration{
+        static_cast<long>(std::exponential_distribution<>(1 / Mean)(Random))};
+  };
+  TimePoint Now, Arrival;
+  while (Now < End) {
+    if (!Running.empty() && Running.top().first <= Arrival) {
+      const auto [Ended, Started] = Running.top();
+      Running.pop();
+      Now = Ended;
+      Limit.leave(Now, Now - Started, AdmissionOutcome::Completed);
+      if (Measured(Now) && Now - Started <= Deadline)
+        ++InTime;
+    } else {
+      Now = Arrival;
+      const double PerWorker = ServiceTime(Now) / Case.m_Workers;
+      const Duration Gap = Draw(PerWorker / Case.m_Load);
+      Arrival = Now + Gap;
+      if (Measured(Now))
+        Possible += static_cast<double>(Gap.count()) / PerWorker *
+                    std::min(1.0, Case.m_Load);
+      const auto P = static_cast<Priority>(Random() % 3);
+      ++Result.m_Offered[static_cast<std::size_t>(P)];
+      if (!Limited || isOk(Limit.tryEnter(Now, P))) {
+        ++Result.m_Admitted[static_cast<std::size_t>(P)];
+        Waiting.push_back(Now);
+      }
+    }
+    while (!Waiting.empty() &&
+           Running.size() < static_cast<std::size_t>(Case.m_Workers)) {
+      Running.emplace(Now + Draw(ServiceTime(Now)), Waiting.front());
+      Waiting.pop_front();
+    }
+  }
+  Result.m_Share = InTime / Possible;
+  return Result;
+}
+
+struct PriorityCase {
+  Priority m_Priority;
+  std::uint32_t m_Admitted;
+};
+const PriorityCase PriorityCases[] = {
+    {Priority::Low, 80}, {Priority::Normal, 95}, {Priority::High, 100}};
+
+} // namespace
+
+// Guards against queries that fill the queue until all miss their deadline, and
+// against a limit that leaves capacity unused. Bound: 90% of the capacity
+// (section 8), or of the offered load when that is less.
+TABLE_TEST(admission, keeps_goodput_under_overload, LoadCases) {
+  const auto Limited = run(Row, true);
+  cr_assert_geq(Limited.m_Share, 0.9, "%s, seed %u: %g", Row.m_Name, Row.m_Seed,
+                Limited.m_Share);
+  if (Row.m_Load > 1) {
+    const auto Baseline = run(Row, false);
+    cr_assert_leq(Baseline.m_Share, 0.5 * Limited.m_Share, "%s: %g", Row.m_Name,
+                  Baseline.m_Share);
+    const auto Share = [&](std::size_t P) {
+      return static_cast<double>(Limited.m_Admitted[P]) / Limited.m_Offered[P];
+    };
+    cr_assert(Share(0) < Share(1) && Share(1) < Share(2), "%s", Row.m_Name);
+  }
+}
+
+// Guards against high priority that is refused before low.
+TABLE_TEST(admission, refuses_low_priority_first, PriorityCases) {
+  AdmissionLimit Limit({4, 100, 100});
+  std::uint32_t Admitted = 0;
+  while (isOk(Limit.tryEnter({}, Row.m_Priority)))
+    ++Admitted;
+  cr_assert_eq(Admitted, Row.m_Admitted);
+  const auto Refused = Limit.tryEnter({}, Row.m_Priority);
+  cr_assert_eq(errorOf(Refused).m_Limit, 100);
+  cr_assert_eq(errorOf(Refused).m_InFlight, Row.m_Admitted);
+}
+
+// Guards against full queues at owners that do not lower the limit.
+Test(admission, follows_the_owners_refusals) {
+  AdmissionLimit Limit({4, 2000, 100});
+  TimePoint Now;
+  for (int I = 0; I < 2000; ++I, Now = Now + 5ms)
+    if (isOk(Limit.tryEnter(Now, Priority::High)))
+      Limit.leave(Now, 5ms, AdmissionOutcome::Overloaded);
+  cr_assert_lt(Limit.limit(), 20);
+}
--- /dev/null
+++ b/src/ragwortdrift/policy/coverage_test.cpp
@@ -0,0 +1,83 @@
+#include "ragwortdrift/policy/coverage.hpp"
+#include "ragwortdrift/testing/table.hpp"
+
+#include <map>
+#include <random>
+#include <set>
+
+using namespace ragwortdrift;
+
+namespace {
+
+struct PickCase {
+  const char *m_Name;
+  /// Group and version of each part.
+  std::vector<std::pair<GroupIndex, std::uint64_t>> m_Parts;
+  std::uint64_t m_Expected; // 0 for none.
+  double m_Coverage;
+};
+const PickCase PickCases[] = {
+    {"no part", {}, 0, 0},
+    {"one version", {{0, 7}, {1, 7}, {2, 7}, {3, 7}}, 7, 1},
+    {"most groups", {{0, 7}, {1, 7}, {2, 8}}, 7, 0.5},
+    {"newest on a tie", {{0, 7}, {1, 7}, {2, 8}, {3, 8}}, 8, 0.5},
+    {"groups with both", {{0, 7}, {0, 8}, {1, 8}, {2, 7}, {3, 7}}, 7, 0.75},
+};
+
+} // namespace
+
+// Guards against an answer of a version that covers fewer groups.
+TABLE_TEST(coverage, picks_the_version_of_most_groups, PickCases) {
+  AnswerAssembly Assembly(4);
+  for (const auto &[Group, Version] : Row.m_Parts)
+    Assembly.add({Group, 0, SnapshotVersion{Version}, ""});
+  const auto Answer = Assembly.finish();
+  cr_assert_eq(Answer.m_Snapshot.value_or(SnapshotVersion{0}).m_Value,
+               Row.m_Expected, "%s", Row.m_Name);
+  cr_assert_float_eq(coverageOf(Answer), Row.m_Coverage, 1e-9, "%s",
+                     Row.m_Name);
+}
+
+// Guards against mixed snapshots, a group that is counted twice, parts that
+// change after the end, and coverage that differs from the parts. The oracle
+// keeps the first part of each group and version.
+Test(coverage, is_true_for_any_order_of_parts) {
+  for (unsigned Seed = 1; Seed <= 200; ++Seed) {
+    std::mt19937 Random(Seed);
+    const auto Groups = static_cast<std::uint32_t>(1 + Random() % 12);
+    AnswerAssembly Assembly(Groups);
+    std::map<std::pair<std::uint64_t, GroupIndex>, std::string> First;
+    for (unsigned I = Random() % 60; I > 0; --I) {
+      const auto Group = static_cast<GroupIndex>(Random() % (Groups + 1));
+      const std::uint64_t Version = 7 + Random() % 3;
+      const std::string Body = std::to_string(I);
+      const auto Outcome =
+          Assembly.add({Group, 0, SnapshotVersion{Version}, Body});
+      const bool New =
+          Group < Groups && First.try_emplace({Version, Group}, Body).second;
+      cr_assert_eq(Outcome == PartOutcome::Added, New, "seed %u", Seed);
+    }
+    std::map<std::uint64_t, std::size_t> Counts;
+    for (const auto &Entry : First)
+      ++Counts[Entry.first.first];
+    std::size_t Most = 0;
+    for (const auto &Entry : Counts)
+      Most = std::max(Most, Entry.second);
+    const auto Answer = Assembly.finish();
+    cr_assert_eq(Assembly.add({0, 0, SnapshotVersion{7}, ""}),
+                 PartOutcome::Late);
+    cr_assert_eq(groupsAnswered(Answer), Most, "seed %u", Seed);
+    cr_assert_eq(Answer.m_GroupsAsked, Groups);
+    std::set<GroupIndex> Seen(Answer.m_Missing.begin(), Answer.m_Missing.end());
+    cr_assert_eq(Seen.size(), Groups - Most, "seed %u", Seed);
+    for (const auto &Part : Answer.m_Parts) {
+      cr_assert(Part.m_Snapshot == Answer.m_Snapshot, "seed %u", Seed);
+      cr_assert(Seen.insert(Part.m_Group).second, "seed %u", Seed);
+      cr_assert((First[{Part.m_Snapshot.m_Value, Part.m_Group}]) == Part.m_Body,
+                "seed %u", Seed);
+    }
+    cr_assert_eq(Seen.size(), Groups, "seed %u", Seed);
+    cr_assert_float_eq(coverageOf(Answer), static_cast<double>(Most) / Groups,
+                       1e-9);
+  }
+}
