--- a/include/ragwortdrift/policy/coverage.hpp
+++ b/include/ragwortdrift/policy/coverage.hpp
@@ -58,6 +58,11 @@
   explicit AnswerAssembly(std::uint32_t Groups);
 
   PartOutcome add(AnswerPart Part);
+  /// The group answered 409: it does not offer the version it was asked for.
+  void noteVersionRefused(GroupIndex Group) { m_VersionRefused[Group] = true; }
+  bool versionRefused(GroupIndex Group) const {
+    return m_VersionRefused[Group];
+  }
 
   std::uint32_t groupsAsked() const {
     return static_cast<std::uint32_t>(m_Parts.size());
@@ -82,6 +87,7 @@
 
 private:
   std::vector<std::vector<AnswerPart>> m_Parts;
+  std::vector<bool> m_VersionRefused;
   bool m_Finished = false;
 };
 
--- a/include/ragwortdrift/policy/snapshot_choice.hpp
+++ b/include/ragwortdrift/policy/snapshot_choice.hpp
@@ -75,11 +75,13 @@
   std::vector<GroupIndex> m_Groups;
 };
 
-/// What to do once no more parts are expected (every group has answered, was
-/// given up or refused the version). Asks again at most once a query
-/// (AskedAgain), only with at least half of the deadline left: at the newest
-/// version that every answering group offers, and only the groups without a
-/// part of it. Otherwise finishes with the version of the most groups.
+/// What to do once no more parts are expected: every group has a part, has
+/// refused the version (AnswerAssembly::noteVersionRefused) or was given up.
+/// Asks again at most once a query (AskedAgain) and only with at least half of
+/// the deadline left: at the newest version that every group with a part or a
+/// refusal offers, and only those groups that lack a part of it. Otherwise
+/// finishes with the version of the most groups. Groups that were given up are
+/// not asked again, since that would be a retry beside the budget.
 SnapshotDecision decideSnapshot(TimePoint Now, TimePoint Started,
                                 TimePoint Deadline,
                                 const AnswerAssembly &Assembly,
--- a/src/ragwortdrift/policy/coverage.cpp
+++ b/src/ragwortdrift/policy/coverage.cpp
@@ -15,7 +15,8 @@
                    Answer.m_GroupsAsked;
 }
 
-AnswerAssembly::AnswerAssembly(std::uint32_t Groups) : m_Parts(Groups) {}
+AnswerAssembly::AnswerAssembly(std::uint32_t Groups)
+    : m_Parts(Groups), m_VersionRefused(Groups) {}
 
 PartOutcome AnswerAssembly::add(AnswerPart Part) {
   if (m_Finished)
--- /dev/null
+++ b/src/ragwortdrift/policy/fanout_model.hpp
@@ -0,0 +1,231 @@
+#ifndef RAGWORTDRIFT_POLICY_FANOUT_MODEL_HPP
+#define RAGWORTDRIFT_POLICY_FANOUT_MODEL_HPP
+
+#include "policy_fixture.hpp"
+#include "ragwortdrift/policy/hedge.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <queue>
+#include <random>
+#include <vector>
+
+namespace ragwortdrift {
+
+/// A service in virtual time: 3 replicas a group with 2 slots each and a queue.
+/// 1% of the leaf requests take 20 times as long.
+struct FanoutCase {
+  std::uint32_t m_Groups;
+  double m_QueriesPerSecond;
+  /// The first replica of the first, or of every, group is always this slow.
+  double m_SlowFactor;
+  bool m_SlowInEachGroup;
+  unsigned m_Seed;
+};
+
+/// What decides: a random replica and one try, or the policies.
+enum class FanoutPolicy { Random, Chooser, ChooserAndHedges };
+
+struct FanoutResult {
+  double m_P50 = 0, m_P99 = 0; // ms
+  long m_FirstRequests = 0, m_ExtraRequests = 0;
+};
+
+/// Runs queries for 40 s and measures those that start after 10 s. A query ends
+/// with its last group or at the deadline of 240 ms.
+class FanoutModel {
+public:
+  FanoutModel(const FanoutCase &Case, FanoutPolicy Policy)
+      : m_Case(Case), m_Policy(Policy), m_Service(makeService(Case.m_Groups)),
+        m_Chooser(makeChooser(m_Service, Case.m_Seed, "d0")),
+        m_Random(Case.m_Seed + 1000), m_Leafs(m_Service->m_Leafs.size()) {}
+
+  FanoutResult run() {
+    at(Duration{0}, [this] { arrive(); });
+    while (!m_Events.empty()) {
+      const Event Next = m_Events.top();
+      m_Events.pop();
+      m_Now = Next.m_Time;
+      Next.m_Action();
+    }
+    std::sort(m_Latencies.begin(), m_Latencies.end());
+    const auto Quantile = [&](double Q) {
+      return m_Latencies[static_cast<std::size_t>(
+          Q * static_cast<double>(m_Latencies.size() - 1))];
+    };
+    m_Result.m_P50 = Quantile(0.5);
+    m_Result.m_P99 = Quantile(0.99);
+    return m_Result;
+  }
+
+private:
+  static constexpr Duration Deadline = std::chrono::milliseconds(240);
+  static constexpr Duration MedianLatency = std::chrono::milliseconds(5);
+  static constexpr TimePoint MeasuredFrom{std::chrono::seconds(10)};
+  static constexpr TimePoint End{std::chrono::seconds(40)};
+
+  struct Event {
+    TimePoint m_Time;
+    long m_Order;
+    std::function<void()> m_Action;
+    bool operator<(const Event &Other) const {
+      return std::tie(m_Time, m_Order) > std::tie(Other.m_Time, Other.m_Order);
+    }
+  };
+  struct Request {
+    std::size_t m_Query;
+    GroupIndex m_Group;
+    LeafIndex m_Leaf;
+    TimePoint m_Sent;
+    bool m_Hedge;
+    bool m_Started = false, m_Ended = false;
+  };
+  struct Query {
+    TimePoint m_Start;
+    std::uint32_t m_Left;
+    std::vector<std::vector<std::size_t>> m_Requests;
+    std::vector<bool> m_Answered;
+  };
+  struct LeafSlots {
+    int m_Busy = 0;
+    std::deque<std::size_t> m_Queue;
+  };
+
+  void at(Duration Delay, std::function<void()> Action) {
+    m_Events.push({m_Now + Delay, m_Order++, std::move(Action)});
+  }
+  Duration drawLatency(LeafIndex Leaf) {
+    double Micros = static_cast<double>(MedianLatency.count()) *
+                    std::lognormal_distribution<>(0, 0.3)(m_Random);
+    if (m_Random() % 100 == 0)
+      Micros *= 20;
+    if (Leaf == 0 || (m_Case.m_SlowInEachGroup && Leaf % 3 == 0))
+      Micros *= m_Case.m_SlowFactor;
+    return Duration{static_cast<std::int64_t>(Micros)};
+  }
+
+  void arrive() {
+    if (m_Now >= End)
+      return;
+    const std::size_t Id = m_Queries.size();
+    const auto Groups = m_Case.m_Groups;
+    m_Queries.push_back({m_Now, Groups,
+                         std::vector<std::vector<std::size_t>>(Groups),
+                         std::vector<bool>(Groups)});
+    for (GroupIndex Group = 0; Group < Groups; ++Group) {
+      ReplicaChoice Choice{m_Service->m_Groups[Group].m_Leafs[m_Random() % 3]};
+      if (m_Policy != FanoutPolicy::Random)
+        Choice = *m_Chooser.choose(m_Now, Group);
+      ++m_Result.m_FirstRequests;
+      m_Budget.onFirstRequest();
+      send(Id, Group, Choice.m_Leaf, false);
+      if (m_Policy == FanoutPolicy::ChooserAndHedges)
+        if (const auto Delay = m_Hedging.delay(m_Now, m_Budget, Choice.m_Kind))
+          at(*Delay, [this, Id, Group] { hedge(Id, Group); });
+    }
+    at(Deadline, [this, Id] { end(Id); });
+    at(Duration{static_cast<std::int64_t>(
+           1e6 * std::exponential_distribution<>(m_Case.m_QueriesPerSecond)(
+                     m_Random))},
+       [this] { arrive(); });
+  }
+  void hedge(std::size_t Id, GroupIndex Group) {
+    const auto &Q = m_Queries[Id];
+    if (Q.m_Left == 0 || Q.m_Answered[Group])
+      return;
+    const LeafIndex Asked = m_Requests[Q.m_Requests[Group].front()].m_Leaf;
+    const auto Choice =
+        m_Chooser.choose(m_Now, Group, {std::span(&Asked, 1), Asked});
+    if (!Choice || !m_Budget.tryTake())
+      return;
+    ++m_Result.m_ExtraRequests;
+    send(Id, Group, Choice->m_Leaf, true);
+  }
+  void send(std::size_t Id, GroupIndex Group, LeafIndex Leaf, bool Hedge) {
+    const std::size_t R = m_Requests.size();
+    m_Requests.push_back({Id, Group, Leaf, m_Now, Hedge});
+    m_Queries[Id].m_Requests[Group].push_back(R);
+    m_Chooser.onSent(Leaf);
+    m_Leafs[Leaf].m_Queue.push_back(R);
+    startNext(Leaf);
+  }
+  void startNext(LeafIndex Leaf) {
+    auto &L = m_Leafs[Leaf];
+    while (L.m_Busy < 2 && !L.m_Queue.empty()) {
+      const std::size_t R = L.m_Queue.front();
+      L.m_Queue.pop_front();
+      if (m_Requests[R].m_Ended)
+        continue;
+      m_Requests[R].m_Started = true;
+      ++L.m_Busy;
+      at(drawLatency(Leaf), [this, R] { answer(R); });
+    }
+  }
+  /// Frees the slot and reports the latency or the time waited.
+  void close(std::size_t R, bool Answered) {
+    auto &Ended = m_Requests[R];
+    if (Ended.m_Ended)
+      return;
+    Ended.m_Ended = true;
+    const Duration Waited = m_Now - Ended.m_Sent;
+    if (Answered)
+      m_Chooser.onAnswer(m_Now, Ended.m_Leaf, Waited);
+    else
+      m_Chooser.onCancelled(m_Now, Ended.m_Leaf, Waited);
+    if (!Ended.m_Hedge)
+      m_Hedging.onLatency(m_Now, Waited);
+    if (Ended.m_Started) {
+      --m_Leafs[Ended.m_Leaf].m_Busy;
+      startNext(Ended.m_Leaf);
+    }
+  }
+  void answer(std::size_t R) {
+    if (m_Requests[R].m_Ended)
+      return;
+    close(R, true);
+    auto &Q = m_Queries[m_Requests[R].m_Query];
+    const GroupIndex Group = m_Requests[R].m_Group;
+    if (Q.m_Answered[Group])
+      return;
+    Q.m_Answered[Group] = true;
+    for (const std::size_t Other : Q.m_Requests[Group])
+      close(Other, false);
+    if (--Q.m_Left == 0 && Q.m_Start >= MeasuredFrom)
+      m_Latencies.push_back(toMillis(m_Now - Q.m_Start));
+  }
+  void end(std::size_t Id) {
+    auto &Q = m_Queries[Id];
+    if (Q.m_Left == 0)
+      return;
+    Q.m_Left = 0;
+    if (Q.m_Start >= MeasuredFrom)
+      m_Latencies.push_back(toMillis(Deadline));
+    for (GroupIndex Group = 0; Group < m_Case.m_Groups; ++Group) {
+      Q.m_Answered[Group] = true;
+      for (const std::size_t R : Q.m_Requests[Group])
+        close(R, false);
+    }
+  }
+
+  FanoutCase m_Case;
+  FanoutPolicy m_Policy;
+  std::shared_ptr<Service> m_Service;
+  ReplicaChooser m_Chooser;
+  HedgeBudget m_Budget{0.05};
+  HedgePolicy m_Hedging;
+  std::mt19937_64 m_Random;
+  std::vector<LeafSlots> m_Leafs;
+  std::deque<Request> m_Requests;
+  std::deque<Query> m_Queries;
+  std::priority_queue<Event> m_Events;
+  long m_Order = 0;
+  TimePoint m_Now;
+  std::vector<double> m_Latencies;
+  FanoutResult m_Result;
+};
+
+} // namespace ragwortdrift
+
+#endif
--- /dev/null
+++ b/src/ragwortdrift/policy/replica_choice_test.cpp
@@ -0,0 +1,260 @@
+#include "fanout_model.hpp"
+#include "ragwortdrift/policy/replica_choice.hpp"
+#include "ragwortdrift/testing/table.hpp"
+
+#include <map>
+
+using namespace ragwortdrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// How often each leaf of group 0 is chosen in 3000 calls.
+std::map<LeafIndex, int> countChoices(ReplicaChooser &Chooser, TimePoint Now,
+                                      const ChoiceOptions &Options = {}) {
+  std::map<LeafIndex, int> Counts;
+  for (int I = 0; I < 3000; ++I)
+    if (const auto Choice = Chooser.choose(Now, 0, Options))
+      ++Counts[Choice->m_Leaf];
+  return Counts;
+}
+
+void answer(ReplicaChooser &Chooser, TimePoint Now, LeafIndex Leaf,
+            Duration Latency, int Times) {
+  for (int I = 0; I < Times; ++I) {
+    Chooser.onSent(Leaf);
+    Chooser.onAnswer(Now, Leaf, Latency);
+  }
+}
+
+constexpr TimePoint Start{1min};
+
+struct PassOverCase {
+  const char *m_Name;
+  /// Acts on leaf 0 of three equal ones.
+  void (*m_Act)(ReplicaChooser &);
+  /// Share of choices that leaf 0 still gets at once, and 3 s later.
+  double m_MostNow, m_LeastLater;
+};
+const PassOverCase PassOverCases[] = {
+    {"full queue",
+     [](ReplicaChooser &C) {
+       C.onSent(0);
+       C.onRefused(Start, 0, GateRefusalCode::QueueFull, {});
+     },
+     0, 0.2},
+    {"cold with a turn later",
+     [](ReplicaChooser &C) {
+       C.onSent(0);
+       C.onRefused(Start, 0, GateRefusalCode::Cold, Duration(500ms));
+     },
+     0, 0.2},
+    {"deadline of one request",
+     [](ReplicaChooser &C) {
+       C.onSent(0);
+       C.onRefused(Start, 0, GateRefusalCode::Deadline, {});
+     },
+     1, 0.2},
+    // A cold leaf gets its fraction of a third, so that it can warm up.
+    {"reported cold",
+     [](ReplicaChooser &C) {
+       C.onReport(Start, 0, {LeafState::Cold, 0.3, 0});
+     },
+     0.13, 0.2},
+    {"reported as draining",
+     [](ReplicaChooser &C) {
+       C.onReport(Start, 0, {LeafState::Draining, 0, 0});
+     },
+     0, 0.2},
+    {"no owner", [](ReplicaChooser &C) { C.setOwner(0, std::nullopt); }, 0, 0},
+    {"domain out",
+     [](ReplicaChooser &C) { C.update(makeService(1), {FailureDomain{"d0"}}); },
+     0, 0},
+    {"ordered to drain",
+     [](ReplicaChooser &C) {
+       auto S = makeService(1);
+       S->m_Leafs[0].m_Draining = true;
+       C.update(S, {});
+     },
+     0, 0},
+    {"slow owner",
+     [](ReplicaChooser &C) {
+       for (int I = 0; I < 50; ++I)
+         C.onOwnerLatency(Start, 0, 50ms);
+     },
+     0, 0},
+    {"many in flight",
+     [](ReplicaChooser &C) {
+       for (int I = 0; I < 5; ++I)
+         C.onSent(0);
+     },
+     0, 0},
+};
+
+} // namespace
+
+// Guards against work for replicas that are out, leaving, cold or full, and
+// against replicas that are passed over for ever.
+TABLE_TEST(replica_choice, passes_over, PassOverCases) {
+  auto Chooser = makeChooser(makeService(1), 1);
+  for (LeafIndex Leaf = 0; Leaf < 3; ++Leaf)
+    answer(Chooser, Start, Leaf, 5ms, 20);
+  Row.m_Act(Chooser);
+  const auto Share = [&](TimePoint Now) {
+    return countChoices(Chooser, Now)[0] / 3000.0;
+  };
+  const double Now = Share(Start);
+  cr_assert_leq(Now, Row.m_MostNow, "%s: %g", Row.m_Name, Now);
+  const double Later = Share(Start + 3s);
+  cr_assert_geq(Later, Row.m_LeastLater, "%s: %g", Row.m_Name, Later);
+}
+
+// Guards against a cold replica that gets no request at all and never warms up.
+Test(replica_choice, warms_up_cold_replicas) {
+  auto Chooser = makeChooser(makeService(1), 1);
+  Chooser.onReport(Start, 0, {LeafState::Cold, 0.3, 0});
+  const auto Counts = countChoices(Chooser, Start);
+  cr_assert_geq(Counts.at(0), 200);
+}
+
+// Guards against an answer that goes without a group whose only replicas are
+// cold or full.
+Test(replica_choice, falls_back_to_the_last_replica) {
+  auto Chooser = makeChooser(makeService(1, 1), 1);
+  Chooser.onReport(Start, 0, {LeafState::Cold, 0.1, 0});
+  Chooser.onRefused(Start, 0, GateRefusalCode::Cold, Duration(1s));
+  const auto Choice = Chooser.choose(Start, 0);
+  cr_assert(Choice && Choice->m_Kind == ChoiceKind::LastResort);
+  const LeafIndex Asked = 0;
+  cr_assert(!Chooser.choose(Start, 0, {std::span(&Asked, 1), {}}));
+}
+
+// Guards against a hedge to the same owner while another one has a replica.
+Test(replica_choice, hedges_under_another_owner) {
+  auto Chooser = makeChooser(makeService(1, 4), 1);
+  Chooser.setOwner(1, 0);
+  const LeafIndex Asked = 0;
+  auto Counts = countChoices(Chooser, Start, {std::span(&Asked, 1), Asked});
+  cr_assert_eq(Counts[0] + Counts[1], 0);
+  for (const std::uint32_t Partition : {2U, 3U})
+    Chooser.setOwner(Partition, std::nullopt);
+  Counts = countChoices(Chooser, Start, {std::span(&Asked, 1), Asked});
+  cr_assert_eq(Counts[1], 3000);
+}
+
+// Guards against a replica of another domain that is chosen although the own
+// one is as good.
+Test(replica_choice, prefers_its_domain_when_equal) {
+  auto Chooser = makeChooser(makeService(1), 1, "d2");
+  answer(Chooser, Start, 0, 5ms, 20);
+  answer(Chooser, Start, 1, 5ms, 20);
+  answer(Chooser, Start, 2, Duration(5800us), 20);
+  cr_assert_gt(countChoices(Chooser, Start)[2], 1900);
+  answer(Chooser, Start, 2, 8ms, 50);
+  cr_assert_lt(countChoices(Chooser, Start)[2], 100);
+}
+
+// Guards against a slow replica that is never tried again, or that is ejected
+// by its first slow answer.
+Test(replica_choice, ejects_and_probes_slow_replicas) {
+  auto Chooser = makeChooser(makeService(1), 1);
+  for (LeafIndex Leaf = 0; Leaf < 3; ++Leaf)
+    answer(Chooser, Start, Leaf, 5ms, 20);
+  answer(Chooser, Start, 0, 100ms, 1);
+  cr_assert(!Chooser.ejected(0));
+  answer(Chooser, Start, 0, 100ms, 20);
+  cr_assert(Chooser.ejected(0));
+  cr_assert_eq(countChoices(Chooser, Start)[0], 0);
+  const auto Probe = Chooser.choose(Start + 1s, 0);
+  cr_assert(Probe && Probe->m_Leaf == 0 && Probe->m_Kind == ChoiceKind::Probe);
+  answer(Chooser, Start + 1s, 0, 100ms, 1);
+  cr_assert(Chooser.choose(Start + 2s, 0)->m_Kind != ChoiceKind::Probe);
+  cr_assert(Chooser.choose(Start + 3s, 0)->m_Kind == ChoiceKind::Probe);
+  answer(Chooser, Start + 3s, 0, 5ms, 1);
+  cr_assert(!Chooser.ejected(0));
+}
+
+// Guards against ejections, take-outs and lost owners that together leave a
+// group without a replica in use, and against choices that are excluded or out.
+Test(replica_choice, never_ejects_a_whole_group) {
+  for (unsigned Seed = 1; Seed <= 100; ++Seed) {
+    std::mt19937 Random(Seed);
+    auto Service = makeService(3);
+    auto Chooser = makeChooser(Service, Seed);
+    std::set<FailureDomain> Out;
+    std::array<bool, 3> Owned{true, true, true};
+    TimePoint Now = Start;
+    for (int Step = 0; Step < 400; ++Step) {
+      Now = Now + Random() % 500 * Duration(1ms);
+      const auto Leaf = static_cast<LeafIndex>(Random() % 9);
+      const unsigned Domain = Random() % 3;
+      switch (Random() % 6) {
+      case 0:
+      case 1:
+        for (int I = 0; I < 6; ++I)
+          Chooser.onFailure(Now, Leaf);
+        break;
+      case 2:
+        answer(Chooser, Now, Leaf, Random() % 2 == 0 ? 5ms : 200ms, 12);
+        break;
+      case 3:
+        Chooser.onCancelled(Now, Leaf, 200ms);
+        break;
+      case 4:
+        Out = Random() % 2 == 0
+                  ? std::set<FailureDomain>{}
+                  : std::set{Service->m_Partitions[Domain].m_Domain};
+        Chooser.update(makeService(3), Out);
+        break;
+      case 5:
+        Owned[Domain] = !Owned[Domain];
+        Chooser.setOwner(Domain, Owned[Domain]
+                                     ? std::optional<std::uint64_t>(Domain)
+                                     : std::nullopt);
+      }
+      for (GroupIndex Group = 0; Group < 3; ++Group) {
+        int Usable = 0, InUse = 0;
+        for (LeafIndex L = 3 * Group; L < 3 * Group + 3; ++L)
+          if (Owned[L % 3] && !Out.contains(Service->m_Leafs[L].m_Domain)) {
+            ++Usable;
+            InUse += Chooser.ejected(L) ? 0 : 1;
+          }
+        cr_assert(Usable == 0 || InUse > 0, "seed %u, step %d, group %u", Seed,
+                  Step, Group);
+        const auto Choice = Chooser.choose(Now, Group);
+        cr_assert_eq(Choice.has_value(), Usable > 0, "seed %u, step %d", Seed,
+                     Step);
+        if (Choice)
+          cr_assert(
+              Owned[Choice->m_Leaf % 3] &&
+                  !Out.contains(Service->m_Leafs[Choice->m_Leaf].m_Domain),
+              "seed %u, step %d", Seed, Step);
+      }
+    }
+  }
+}
+
+// Guards against what is known of a leaf being given to another one when the
+// catalog changes.
+Test(replica_choice, keeps_knowledge_by_leaf) {
+  const auto Old = makeService(1);
+  auto Chooser = makeChooser(Old, 1);
+  answer(Chooser, Start, 2, 40ms, 20);
+  const auto New = makeService(1);
+  std::swap(New->m_Leafs[0].m_Id, New->m_Leafs[2].m_Id);
+  Chooser.update(New, {});
+  cr_assert_float_eq(toMillis(Chooser.estimate(Start, 0)), 40, 0.1);
+  cr_assert(sameLeaf(*Old, 2, *New) == LeafIndex{0});
+}
+
+// Guards against a choice that follows stragglers instead of the slow replica:
+// the chooser alone must remove the slow replica from the median.
+Test(replica_choice, beats_a_random_replica) {
+  for (const unsigned Seed : {1U, 2U, 3U}) {
+    const FanoutCase Case{10, 100, 5, true, Seed};
+    const auto Baseline = FanoutModel(Case, FanoutPolicy::Random).run();
+    const auto Chosen = FanoutModel(Case, FanoutPolicy::Chooser).run();
+    cr_assert_leq(Chosen.m_P50, 0.5 * Baseline.m_P50, "seed %u", Seed);
+    cr_assert_leq(Chosen.m_P99, Baseline.m_P99, "seed %u", Seed);
+  }
+}
--- a/src/ragwortdrift/policy/snapshot_choice.cpp
+++ b/src/ragwortdrift/policy/snapshot_choice.cpp
@@ -123,7 +123,7 @@
   Decision.m_Version = Assembly.bestSnapshot();
   const bool TimeLeft = 2 * (Deadline - Now) >= Deadline - Started;
   const auto Answered = [&](GroupIndex Group) {
-    return Assembly.hasPart(Group) || Offers.groupKnown(Now, Group);
+    return Assembly.hasPart(Group) || Assembly.versionRefused(Group);
   };
   if (AskedAgain || !TimeLeft)
     return Decision;
@@ -148,8 +148,7 @@
   if (!Target)
     return Decision;
   for (GroupIndex Group = 0; Group < Assembly.groupsAsked(); ++Group)
-    if (!Assembly.hasPart(Group, *Target) &&
-        Offers.groupOffers(Now, Group, *Target))
+    if (Answered(Group) && !Assembly.hasPart(Group, *Target))
       Decision.m_Groups.push_back(Group);
   if (Decision.m_Groups.empty())
     return Decision;
