--- a/include/ragwortdrift/base/state_chart.hpp
+++ b/include/ragwortdrift/base/state_chart.hpp
@@ -112,6 +112,7 @@
 
 template <NamedEnum E> std::vector<std::string_view> tableNames() {
   std::vector<std::string_view> Names;
+  Names.reserve(EnumNames<E>::Entries.size());
   for (const auto &Entry : EnumNames<E>::Entries)
     Names.push_back(Entry.second);
   return Names;
