--- a/include/ragwortdrift/policy/replica_choice.hpp
+++ b/include/ragwortdrift/policy/replica_choice.hpp
@@ -58,7 +58,9 @@
 /// Chooses the replica of each group at an entry VM. One object a service and
 /// traffic thread. Latency estimates follow what answers show; a replica that
 /// is not used moves back to its group's median with a half-life of 10 s, so
-/// that it is tried again.
+/// that it is tried again. In groups of more than 8 replicas the choice is the
+/// best of 4 draws, the first one from the own domain, instead of 2 draws from
+/// all that are good.
 class ReplicaChooser {
 public:
   ReplicaChooser(std::shared_ptr<const Service> S, FailureDomain Own,
@@ -128,7 +130,19 @@
     double m_LatencyMicros = 0;
   };
 
-  bool usable(LeafIndex Leaf) const;
+  /// What is known of a group, so that choose() does not scan large groups.
+  struct GroupState {
+    std::vector<LeafIndex> m_OwnDomain;
+    std::vector<LeafIndex> m_Ejected;
+    /// Leafs whose owner reported a fraction below 1; cleaned in warmUp().
+    std::vector<LeafIndex> m_Limited;
+  };
+
+  bool usable(LeafIndex Leaf) const { return m_Usable[Leaf]; }
+  void refreshUsable(LeafIndex Leaf);
+  /// Usable, not ejected, not passed over and not excluded.
+  bool good(TimePoint Now, LeafIndex Leaf, const ChoiceOptions &Options) const;
+  std::optional<std::uint64_t> ownerOf(LeafIndex Leaf) const;
   bool limitedByOwner(TimePoint Now, LeafIndex Leaf) const;
   bool passedOver(TimePoint Now, LeafIndex Leaf) const;
   /// Median of the raw estimates of the group's other leafs; nothing when none
@@ -139,19 +153,27 @@
   void learn(TimePoint Now, LeafIndex Leaf, double LogLatency);
   bool slowForGroup(LeafIndex Leaf, double LogLatency) const;
   std::optional<EjectionChange> eject(TimePoint Now, LeafIndex Leaf);
-  /// Ends ejections in groups that have no other usable replica left.
-  void restoreEmptyGroups();
+  void endEjection(LeafIndex Leaf);
+  /// Ends the ejections in a group that has no other usable replica left.
+  void restoreIfEmpty(GroupIndex Group);
+  std::optional<LeafIndex> sample(TimePoint Now, GroupIndex Group,
+                                  const ChoiceOptions &Options);
+  ReplicaChoice scan(TimePoint Now, const ChoiceOptions &Options);
   LeafIndex pick(TimePoint Now, std::span<const LeafIndex> Candidates);
   LeafIndex better(TimePoint Now, LeafIndex A, LeafIndex B);
-  std::optional<LeafIndex> dueProbe(TimePoint Now);
-  std::optional<LeafIndex> warmUp(TimePoint Now);
+  std::optional<LeafIndex> dueProbe(TimePoint Now, GroupIndex Group,
+                                    const ChoiceOptions &Options);
+  std::optional<LeafIndex> warmUp(TimePoint Now, GroupIndex Group,
+                                  const ChoiceOptions &Options);
 
   std::shared_ptr<const Service> m_Service;
   FailureDomain m_Own;
   std::set<FailureDomain> m_DomainsOut;
   std::mt19937_64 m_Random;
   std::vector<State> m_States;
+  std::vector<bool> m_Usable;
   std::vector<GroupIndex> m_GroupOf;
+  std::vector<GroupState> m_Groups;
   std::vector<OwnerState> m_Owners;
   /// Scratch of choose(), kept to avoid allocations.
   std::vector<LeafIndex> m_Candidates;
--- a/include/ragwortdrift/policy/snapshot_choice.hpp
+++ b/include/ragwortdrift/policy/snapshot_choice.hpp
@@ -51,7 +51,7 @@
   std::shared_ptr<const Service> m_Service;
   std::vector<Offer> m_Offers;
   mutable std::optional<SnapshotVersion> m_Cached;
-  mutable TimePoint m_CachedUntil;
+  mutable TimePoint m_CachedAt;
   mutable bool m_Dirty = true;
 };
 
--- a/src/ragwortdrift/policy/replica_choice.cpp
+++ b/src/ragwortdrift/policy/replica_choice.cpp
@@ -1,36 +1,21 @@
 #include "ragwortdrift/policy/replica_choice.hpp"
 
 #include <algorithm>
-#include <cmath>
+#include <iterator>
 #include <unordered_map>
 
 namespace ragwortdrift {
 namespace {
 
-/// Weight of one answer in the estimate. With 0.1 a single answer of 20 times
-/// the usual raises the estimate by 35%, and a lasting change of the leaf is
-/// half learned after 7 answers.
-constexpr double SampleWeight = 0.1;
-constexpr std::uint32_t EnoughSamples = 10;
-/// A cancelled request would have taken longer than it was waited for. Without
-/// the factor 2 a slow replica that is always hedged seems less than 3 times as
-/// slow as its group and is never ejected.
-const double CancelledLogFactor = std::log(2.0);
-constexpr Duration ReturnHalfLife = std::chrono::seconds(10);
 constexpr double DomainTolerance = 1.2;
-constexpr std::uint32_t FailureLimit = 5;
-const double EjectLogRatio = std::log(3.0);
-constexpr Duration FirstProbeDelay = std::chrono::seconds(1);
 constexpr Duration MaxProbeDelay = std::chrono::seconds(30);
-constexpr Duration DefaultPassOver = std::chrono::milliseconds(100);
-/// How long an owner's report counts; a leaf that is passed over gets no newer
-/// one.
-constexpr Duration ReportLifetime = std::chrono::seconds(2);
-/// Queue of a slot from which a replica counts as full.
-constexpr double FullQueue = 2;
+/// Groups up to this size are scanned.
+constexpr std::size_t SmallGroup = 8;
+constexpr std::size_t WantedDraws = 4;
+constexpr std::size_t MaxDraws = 8;
 
-double toLog(Duration Latency) {
-  return std::log(std::max(1.0, static_cast<double>(Latency.count())));
+bool contains(std::span<const LeafIndex> Leafs, LeafIndex Leaf) {
+  return std::find(Leafs.begin(), Leafs.end(), Leaf) != Leafs.end();
 }
 
 } // namespace
@@ -69,7 +54,20 @@
   m_Owners = std::move(Owners);
   m_Service = std::move(S);
   m_DomainsOut = DomainsOut;
-  restoreEmptyGroups();
+  m_Usable.assign(m_States.size(), false);
+  m_Groups.assign(m_Service->m_Groups.size(), {});
+  for (LeafIndex Leaf = 0; Leaf < m_States.size(); ++Leaf) {
+    refreshUsable(Leaf);
+    auto &Group = m_Groups[m_GroupOf[Leaf]];
+    if (m_Service->m_Leafs[Leaf].m_Domain == m_Own)
+      Group.m_OwnDomain.push_back(Leaf);
+    if (m_States[Leaf].m_Ejected)
+      Group.m_Ejected.push_back(Leaf);
+    if (m_States[Leaf].m_Fraction < 1)
+      Group.m_Limited.push_back(Leaf);
+  }
+  for (GroupIndex Group = 0; Group < m_Groups.size(); ++Group)
+    restoreIfEmpty(Group);
 }
 
 void ReplicaChooser::setOwner(std::uint32_t Partition,
@@ -78,62 +76,36 @@
   if (Entry.m_Owner == Owner)
     return;
   Entry = {Owner, 0};
-  restoreEmptyGroups();
+  const auto &Leafs = m_Service->m_Partitions[Partition].m_Leafs;
+  for (const LeafIndex Leaf : Leafs)
+    refreshUsable(Leaf);
+  for (const LeafIndex Leaf : Leafs)
+    restoreIfEmpty(m_GroupOf[Leaf]);
 }
 
-bool ReplicaChooser::usable(LeafIndex Leaf) const {
+void ReplicaChooser::refreshUsable(LeafIndex Leaf) {
   const auto &L = m_Service->m_Leafs[Leaf];
-  return !L.m_Draining && m_Owners[L.m_Partition].m_Owner &&
-         !m_DomainsOut.contains(L.m_Domain);
+  m_Usable[Leaf] = !L.m_Draining && m_Owners[L.m_Partition].m_Owner &&
+                   !m_DomainsOut.contains(L.m_Domain);
 }
 
-bool ReplicaChooser::limitedByOwner(TimePoint Now, LeafIndex Leaf) const {
-  const auto &S = m_States[Leaf];
-  return S.m_Fraction < 1 && Now < S.m_FractionUntil;
+std::optional<std::uint64_t> ReplicaChooser::ownerOf(LeafIndex Leaf) const {
+  return m_Owners[m_Service->m_Leafs[Leaf].m_Partition].m_Owner;
 }
 
-bool ReplicaChooser::passedOver(TimePoint Now, LeafIndex Leaf) const {
-  return Now < m_States[Leaf].m_PassOverUntil || limitedByOwner(Now, Leaf);
-}
-
-std::optional<double> ReplicaChooser::peersLog(LeafIndex Leaf) const {
-  // Groups are small or, for services with one group, of some 20 leafs.
-  constexpr std::size_t MaxPeers = 64;
-  std::array<double, MaxPeers> Peers{};
-  std::size_t Count = 0;
-  for (const LeafIndex Peer : m_Service->m_Groups[m_GroupOf[Leaf]].m_Leafs)
-    if (Peer != Leaf && m_States[Peer].m_Samples > 0 && Count < MaxPeers)
-      Peers[Count++] = m_States[Peer].m_LogLatency;
-  if (Count == 0)
-    return std::nullopt;
-  const auto Middle = Peers.begin() + static_cast<std::ptrdiff_t>(Count / 2);
-  const auto End = Peers.begin() + static_cast<std::ptrdiff_t>(Count);
-  std::nth_element(Peers.begin(), Middle, End);
-  if (Count % 2 == 1)
-    return *Middle;
-  return (*Middle + *std::max_element(Peers.begin(), Middle)) / 2;
+bool ReplicaChooser::good(TimePoint Now, LeafIndex Leaf,
+                          const ChoiceOptions &Options) const {
+  return usable(Leaf) && !m_States[Leaf].m_Ejected && !passedOver(Now, Leaf) &&
+         !contains(Options.m_Excluded, Leaf);
 }
 
-double ReplicaChooser::logEstimate(TimePoint Now, LeafIndex Leaf) const {
+bool ReplicaChooser::limitedByOwner(TimePoint Now, LeafIndex Leaf) const {
   const auto &S = m_States[Leaf];
-  const auto Peers = peersLog(Leaf);
-  if (S.m_Samples == 0)
-    return Peers.value_or(toLog(m_Service->m_ServiceTime));
-  if (!Peers)
-    return S.m_LogLatency;
-  const double HalfLives = std::chrono::duration<double>(Now - S.m_Updated) /
-                           std::chrono::duration<double>(ReturnHalfLife);
-  return *Peers + (S.m_LogLatency - *Peers) * std::exp2(-HalfLives);
-}
-
-Duration ReplicaChooser::estimate(TimePoint Now, LeafIndex Leaf) const {
-  return Duration{static_cast<std::int64_t>(std::exp(logEstimate(Now, Leaf)))};
+  return S.m_Fraction < 1 && Now < S.m_FractionUntil;
 }
 
-double ReplicaChooser::cost(TimePoint Now, LeafIndex Leaf) const {
-  const auto &Owner = m_Owners[m_Service->m_Leafs[Leaf].m_Partition];
-  return (std::exp(logEstimate(Now, Leaf)) + Owner.m_LatencyMicros) *
-         (1.0 + m_States[Leaf].m_InFlight);
+bool ReplicaChooser::passedOver(TimePoint Now, LeafIndex Leaf) const {
+  return Now < m_States[Leaf].m_PassOverUntil || limitedByOwner(Now, Leaf);
 }
 
 LeafIndex ReplicaChooser::better(TimePoint Now, LeafIndex A, LeafIndex B) {
@@ -158,198 +130,107 @@
   return better(Now, Candidates[First], Candidates[Second]);
 }
 
-std::optional<LeafIndex> ReplicaChooser::dueProbe(TimePoint Now) {
-  for (const LeafIndex Leaf : m_Candidates) {
+std::optional<LeafIndex>
+ReplicaChooser::dueProbe(TimePoint Now, GroupIndex Group,
+                         const ChoiceOptions &Options) {
+  for (const LeafIndex Leaf : m_Groups[Group].m_Ejected) {
     auto &S = m_States[Leaf];
-    if (S.m_Ejected && Now >= S.m_ProbeAt) {
-      S.m_ProbeDelay = std::min(2 * S.m_ProbeDelay, MaxProbeDelay);
-      S.m_ProbeAt = Now + S.m_ProbeDelay;
-      return Leaf;
-    }
+    if (Now < S.m_ProbeAt || !usable(Leaf) ||
+        contains(Options.m_Excluded, Leaf))
+      continue;
+    S.m_ProbeDelay = std::min(2 * S.m_ProbeDelay, MaxProbeDelay);
+    S.m_ProbeAt = Now + S.m_ProbeDelay;
+    return Leaf;
   }
   return std::nullopt;
 }
 
-std::optional<LeafIndex> ReplicaChooser::warmUp(TimePoint Now) {
-  for (const LeafIndex Leaf : m_Candidates) {
-    if (!limitedByOwner(Now, Leaf) || m_States[Leaf].m_Ejected ||
-        Now < m_States[Leaf].m_PassOverUntil)
+std::optional<LeafIndex> ReplicaChooser::warmUp(TimePoint Now, GroupIndex Group,
+                                                const ChoiceOptions &Options) {
+  auto &Limited = m_Groups[Group].m_Limited;
+  if (Limited.empty())
+    return std::nullopt;
+  std::erase_if(Limited,
+                [&](LeafIndex Leaf) { return !limitedByOwner(Now, Leaf); });
+  const auto Replicas =
+      static_cast<double>(m_Service->m_Groups[Group].m_Leafs.size());
+  for (const LeafIndex Leaf : Limited) {
+    if (!usable(Leaf) || m_States[Leaf].m_Ejected ||
+        Now < m_States[Leaf].m_PassOverUntil ||
+        contains(Options.m_Excluded, Leaf))
       continue;
-    const double Share =
-        m_States[Leaf].m_Fraction / static_cast<double>(m_Candidates.size());
+    const double Share = m_States[Leaf].m_Fraction / Replicas;
     if (std::uniform_real_distribution<>(0, 1)(m_Random) < Share)
       return Leaf;
   }
   return std::nullopt;
 }
 
-std::optional<ReplicaChoice>
-ReplicaChooser::choose(TimePoint Now, GroupIndex Group,
-                       const ChoiceOptions &Options) {
-  const auto &Excluded = Options.m_Excluded;
-  m_Candidates.clear();
-  for (const LeafIndex Leaf : m_Service->m_Groups[Group].m_Leafs)
-    if (usable(Leaf) &&
-        std::find(Excluded.begin(), Excluded.end(), Leaf) == Excluded.end())
-      m_Candidates.push_back(Leaf);
-  if (m_Candidates.empty())
-    return std::nullopt;
-  const bool Hedge = Options.m_AvoidOwnerOf.has_value();
-  if (!Hedge && m_Candidates.size() > 1) {
-    if (const auto Leaf = dueProbe(Now))
-      return ReplicaChoice{*Leaf, ChoiceKind::Probe};
-    if (const auto Leaf = warmUp(Now))
-      return ReplicaChoice{*Leaf, ChoiceKind::WarmUp};
+std::optional<LeafIndex> ReplicaChooser::sample(TimePoint Now, GroupIndex Group,
+                                                const ChoiceOptions &Options) {
+  const auto &All = m_Service->m_Groups[Group].m_Leafs;
+  const auto &Own = m_Groups[Group].m_OwnDomain;
+  std::optional<LeafIndex> Best;
+  std::size_t Found = 0;
+  for (std::size_t Draw = 0; Draw < MaxDraws && Found < WantedDraws; ++Draw) {
+    const auto &From = Draw == 0 && !Own.empty() ? Own : All;
+    const LeafIndex Leaf = From[m_Random() % From.size()];
+    if (!good(Now, Leaf, Options) ||
+        (Options.m_AvoidOwnerOf &&
+         ownerOf(Leaf) == ownerOf(*Options.m_AvoidOwnerOf)))
+      continue;
+    ++Found;
+    Best = Best ? better(Now, *Best, Leaf) : Leaf;
   }
+  // A single draw would be a random replica.
+  return Found >= 2 ? Best : std::nullopt;
+}
+
+ReplicaChoice ReplicaChooser::scan(TimePoint Now,
+                                   const ChoiceOptions &Options) {
   const auto Keep = [&](auto Condition) {
     m_Preferred.clear();
     std::copy_if(m_Candidates.begin(), m_Candidates.end(),
                  std::back_inserter(m_Preferred), Condition);
     return !m_Preferred.empty();
   };
-  if (Keep([&](LeafIndex Leaf) {
-        return !m_States[Leaf].m_Ejected && !passedOver(Now, Leaf);
-      })) {
-    if (Hedge) {
-      const auto OwnerOf = [&](LeafIndex Leaf) {
-        return m_Owners[m_Service->m_Leafs[Leaf].m_Partition].m_Owner;
-      };
-      const auto Avoided = OwnerOf(*Options.m_AvoidOwnerOf);
+  if (Keep([&](LeafIndex Leaf) { return good(Now, Leaf, Options); })) {
+    if (Options.m_AvoidOwnerOf) {
+      const auto Avoided = ownerOf(*Options.m_AvoidOwnerOf);
       const auto Others = std::partition(
           m_Preferred.begin(), m_Preferred.end(),
-          [&](LeafIndex Leaf) { return OwnerOf(Leaf) != Avoided; });
+          [&](LeafIndex Leaf) { return ownerOf(Leaf) != Avoided; });
       if (Others != m_Preferred.begin())
         m_Preferred.erase(Others, m_Preferred.end());
     }
-    return ReplicaChoice{pick(Now, m_Preferred), ChoiceKind::Normal};
+    return {pick(Now, m_Preferred), ChoiceKind::Normal};
   }
   // Cold or full replicas can still answer; ejected ones come last.
   if (!Keep([&](LeafIndex Leaf) { return !m_States[Leaf].m_Ejected; }))
     m_Preferred = m_Candidates;
-  return ReplicaChoice{pick(Now, m_Preferred), ChoiceKind::LastResort};
-}
-
-void ReplicaChooser::onSent(LeafIndex Leaf) { ++m_States[Leaf].m_InFlight; }
-
-void ReplicaChooser::learn(TimePoint Now, LeafIndex Leaf, double LogLatency) {
-  auto &S = m_States[Leaf];
-  // A leaf that was not used for long restarts from its decayed estimate.
-  if (S.m_Samples > 0)
-    S.m_LogLatency = logEstimate(Now, Leaf);
-  S.m_Samples = std::min(S.m_Samples + 1, EnoughSamples);
-  const double Weight = std::max(SampleWeight, 1.0 / S.m_Samples);
-  S.m_LogLatency += (LogLatency - S.m_LogLatency) * Weight;
-  S.m_Updated = Now;
+  return {pick(Now, m_Preferred), ChoiceKind::LastResort};
 }
 
-bool ReplicaChooser::slowForGroup(LeafIndex Leaf, double LogLatency) const {
-  const auto Peers = peersLog(Leaf);
-  return Peers && LogLatency - *Peers > EjectLogRatio;
-}
-
-std::optional<EjectionChange> ReplicaChooser::eject(TimePoint Now,
-                                                    LeafIndex Leaf) {
-  auto &S = m_States[Leaf];
-  const auto &Peers = m_Service->m_Groups[m_GroupOf[Leaf]].m_Leafs;
-  const bool OtherLeft =
-      std::any_of(Peers.begin(), Peers.end(), [&](LeafIndex Peer) {
-        return Peer != Leaf && usable(Peer) && !m_States[Peer].m_Ejected;
-      });
-  if (S.m_Ejected || !OtherLeft)
-    return std::nullopt;
-  S.m_Ejected = true;
-  S.m_ProbeDelay = FirstProbeDelay;
-  S.m_ProbeAt = Now + FirstProbeDelay;
-  return EjectionChange{Leaf, true};
-}
-
-void ReplicaChooser::restoreEmptyGroups() {
-  for (const auto &G : m_Service->m_Groups) {
-    const bool Left =
-        std::any_of(G.m_Leafs.begin(), G.m_Leafs.end(), [&](LeafIndex Leaf) {
-          return usable(Leaf) && !m_States[Leaf].m_Ejected;
-        });
-    if (Left)
-      continue;
-    for (const LeafIndex Leaf : G.m_Leafs)
-      if (usable(Leaf)) {
-        m_States[Leaf].m_Ejected = false;
-        m_States[Leaf].m_FailuresInRow = 0;
-      }
-  }
-}
-
-std::optional<EjectionChange>
-ReplicaChooser::onAnswer(TimePoint Now, LeafIndex Leaf, Duration Latency) {
-  auto &S = m_States[Leaf];
-  S.m_InFlight -= S.m_InFlight > 0 ? 1 : 0;
-  S.m_FailuresInRow = 0;
-  const double LogLatency = toLog(Latency);
-  if (S.m_Ejected) {
-    if (slowForGroup(Leaf, LogLatency))
-      return std::nullopt;
-    S.m_Ejected = false;
-    S.m_Samples = 0;
-    learn(Now, Leaf, LogLatency);
-    return EjectionChange{Leaf, false};
+std::optional<ReplicaChoice>
+ReplicaChooser::choose(TimePoint Now, GroupIndex Group,
+                       const ChoiceOptions &Options) {
+  if (!Options.m_AvoidOwnerOf) {
+    if (const auto Leaf = dueProbe(Now, Group, Options))
+      return ReplicaChoice{*Leaf, ChoiceKind::Probe};
+    if (const auto Leaf = warmUp(Now, Group, Options))
+      return ReplicaChoice{*Leaf, ChoiceKind::WarmUp};
   }
-  learn(Now, Leaf, LogLatency);
-  if (S.m_Samples >= EnoughSamples && slowForGroup(Leaf, S.m_LogLatency))
-    return eject(Now, Leaf);
-  return std::nullopt;
-}
-
-std::optional<EjectionChange> ReplicaChooser::onFailure(TimePoint Now,
-                                                        LeafIndex Leaf) {
-  auto &S = m_States[Leaf];
-  S.m_InFlight -= S.m_InFlight > 0 ? 1 : 0;
-  if (++S.m_FailuresInRow < FailureLimit)
-    return std::nullopt;
-  return eject(Now, Leaf);
-}
-
-std::optional<EjectionChange>
-ReplicaChooser::onCancelled(TimePoint Now, LeafIndex Leaf, Duration Waited) {
-  auto &S = m_States[Leaf];
-  S.m_InFlight -= S.m_InFlight > 0 ? 1 : 0;
-  const double LogLatency = toLog(Waited);
-  if (S.m_Ejected || LogLatency <= logEstimate(Now, Leaf))
+  const auto &Leafs = m_Service->m_Groups[Group].m_Leafs;
+  if (Leafs.size() > SmallGroup)
+    if (const auto Leaf = sample(Now, Group, Options))
+      return ReplicaChoice{*Leaf, ChoiceKind::Normal};
+  m_Candidates.clear();
+  for (const LeafIndex Leaf : Leafs)
+    if (usable(Leaf) && !contains(Options.m_Excluded, Leaf))
+      m_Candidates.push_back(Leaf);
+  if (m_Candidates.empty())
     return std::nullopt;
-  learn(Now, Leaf, LogLatency + CancelledLogFactor);
-  if (S.m_Samples >= EnoughSamples && slowForGroup(Leaf, S.m_LogLatency))
-    return eject(Now, Leaf);
-  return std::nullopt;
-}
-
-void ReplicaChooser::onRefused(TimePoint Now, LeafIndex Leaf,
-                               GateRefusalCode Code,
-                               std::optional<Duration> RetryAfter) {
-  auto &S = m_States[Leaf];
-  S.m_InFlight -= S.m_InFlight > 0 ? 1 : 0;
-  // The deadline of one request says nothing about the next one.
-  if (Code == GateRefusalCode::Deadline)
-    return;
-  const Duration PassOver =
-      std::clamp(RetryAfter.value_or(DefaultPassOver), Duration{1000},
-                 Duration(std::chrono::seconds(2)));
-  S.m_PassOverUntil = std::max(S.m_PassOverUntil, Now + PassOver);
-}
-
-void ReplicaChooser::onReport(TimePoint Now, LeafIndex Leaf,
-                              const LeafReport &Report) {
-  auto &S = m_States[Leaf];
-  S.m_Fraction = Report.m_Fraction;
-  S.m_FractionUntil = Now + ReportLifetime;
-  if (Report.m_QueuePerSlot >= FullQueue)
-    S.m_PassOverUntil =
-        std::max(S.m_PassOverUntil, Now + Duration(m_Service->m_ServiceTime));
-}
-
-void ReplicaChooser::onOwnerLatency(TimePoint, std::uint32_t Partition,
-                                    Duration Latency) {
-  auto &Micros = m_Owners[Partition].m_LatencyMicros;
-  const auto Sample = static_cast<double>(Latency.count());
-  Micros = Micros == 0 ? Sample : Micros + (Sample - Micros) * SampleWeight;
+  return scan(Now, Options);
 }
 
 std::optional<LeafIndex> sameLeaf(const Service &From, LeafIndex Leaf,
--- a/src/ragwortdrift/policy/replica_choice_test.cpp
+++ b/src/ragwortdrift/policy/replica_choice_test.cpp
@@ -234,6 +234,24 @@
   }
 }
 
+// Guards against draws in a large group that miss the last good replicas, take
+// one that is passed over, or leave the own domain.
+Test(replica_choice, draws_from_large_groups) {
+  auto Chooser = makeChooser(makeService(1, 40), 1, "d5");
+  auto Counts = countChoices(Chooser, Start);
+  cr_assert_gt(Counts[5], 2900);
+  for (LeafIndex Leaf = 2; Leaf < 40; ++Leaf)
+    Chooser.onRefused(Start, Leaf, GateRefusalCode::QueueFull, Duration(1s));
+  Counts = countChoices(Chooser, Start);
+  cr_assert_eq(Counts[0] + Counts[1], 3000);
+  const LeafIndex Asked = 0;
+  Counts = countChoices(Chooser, Start, {std::span(&Asked, 1), Asked});
+  cr_assert_eq(Counts[1], 3000);
+  for (int I = 0; I < 5; ++I)
+    Chooser.onFailure(Start, 1);
+  cr_assert_eq(countChoices(Chooser, Start)[0], 3000);
+}
+
 // Guards against what is known of a leaf being given to another one when the
 // catalog changes.
 Test(replica_choice, keeps_knowledge_by_leaf) {
--- a/src/ragwortdrift/policy/snapshot_choice.cpp
+++ b/src/ragwortdrift/policy/snapshot_choice.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t MaxVersions = 8;
 /// How long the version to ask is kept while no leaf's offer changes.
 constexpr Duration CacheLifetime = std::chrono::seconds(1);
+/// While versions change, every answer changes an offer; a service of many
+/// leafs is not gone through for each query.
+constexpr Duration MinRefresh = std::chrono::milliseconds(10);
 
 } // namespace
 
@@ -105,11 +108,12 @@
 
 std::optional<SnapshotVersion>
 SnapshotChoice::versionToAsk(TimePoint Now) const {
-  if (m_Dirty || Now >= m_CachedUntil) {
+  const bool Changed = m_Dirty && (!m_Cached || Now - m_CachedAt >= MinRefresh);
+  if (Changed || Now >= m_CachedAt + CacheLifetime) {
     m_Cached = newestCommon(Now, true);
     if (!m_Cached)
       m_Cached = newestCommon(Now, false);
-    m_CachedUntil = Now + CacheLifetime;
+    m_CachedAt = Now;
     m_Dirty = false;
   }
   return m_Cached;
