--- a/src/ragwortdrift/policy/replica_estimates.cpp
+++ b/src/ragwortdrift/policy/replica_estimates.cpp
@@ -34,13 +34,15 @@
 } // namespace
 
 std::optional<double> ReplicaChooser::peersLog(LeafIndex Leaf) const {
-  // Groups are small or, for services with one group, of some 20 leafs.
-  constexpr std::size_t MaxPeers = 64;
+  // In a large group the median of some leafs is enough.
+  constexpr std::size_t MaxPeers = 32;
+  const auto &Leafs = m_Service->m_Groups[m_GroupOf[Leaf]].m_Leafs;
+  const std::size_t Stride = (Leafs.size() + MaxPeers - 1) / MaxPeers;
   std::array<double, MaxPeers> Peers{};
   std::size_t Count = 0;
-  for (const LeafIndex Peer : m_Service->m_Groups[m_GroupOf[Leaf]].m_Leafs)
-    if (Peer != Leaf && m_States[Peer].m_Samples > 0 && Count < MaxPeers)
-      Peers[Count++] = m_States[Peer].m_LogLatency;
+  for (std::size_t I = Leaf % Stride; I < Leafs.size(); I += Stride)
+    if (Leafs[I] != Leaf && m_States[Leafs[I]].m_Samples > 0)
+      Peers[Count++] = m_States[Leafs[I]].m_LogLatency;
   if (Count == 0)
     return std::nullopt;
   const auto Middle = Peers.begin() + static_cast<std::ptrdiff_t>(Count / 2);
