--- a/src/ragwortdrift/policy/replica_choice_test.cpp
+++ b/src/ragwortdrift/policy/replica_choice_test.cpp
@@ -174,6 +174,24 @@
   cr_assert(!Chooser.ejected(0));
 }
 
+// Guards against a slow replica that stays in use because every request to it
+// is hedged and cancelled before its latency is known.
+Test(replica_choice, ejects_replicas_that_are_always_hedged) {
+  auto Chooser = makeChooser(makeService(1), 1);
+  for (LeafIndex Leaf = 0; Leaf < 3; ++Leaf)
+    answer(Chooser, Start, Leaf, 5ms, 20);
+  for (int I = 0; I < 30; ++I) {
+    Chooser.onSent(0);
+    Chooser.onCancelled(Start, 0, 3ms);
+  }
+  cr_assert_float_eq(toMillis(Chooser.estimate(Start, 0)), 5, 0.1);
+  for (int I = 0; I < 30; ++I) {
+    Chooser.onSent(0);
+    Chooser.onCancelled(Start, 0, 15ms);
+  }
+  cr_assert(Chooser.ejected(0));
+}
+
 // Guards against ejections, take-outs and lost owners that together leave a
 // group without a replica in use, and against choices that are excluded or out.
 Test(replica_choice, never_ejects_a_whole_group) {
