--- a/src/ragwortdrift/tools/leaf/leaf_host.cpp
+++ b/src/ragwortdrift/tools/leaf/leaf_host.cpp
@@ -113,6 +113,7 @@
   if (Chosen.empty())
     return {404, {{"error", "no such leaf"}}};
   std::vector<std::future<Result<Done, OptionError>>> Outcomes;
+  Outcomes.reserve(Chosen.size());
   for (Entry *Leaf : Chosen)
     Outcomes.push_back(runOn(Leaf->m_Thread->m_Io, [Leaf, &Message] {
       return Leaf->m_Server->control(Message.as_object());
--- a/src/ragwortdrift/tools/leaf/leaf_options.cpp
+++ b/src/ragwortdrift/tools/leaf/leaf_options.cpp
@@ -152,6 +152,7 @@
 
 std::vector<std::string_view> optionKeys() {
   std::vector<std::string_view> Names;
+  Names.reserve(Keys.size());
   for (const KeyRow &Row : Keys)
     Names.push_back(Row.m_Key);
   return Names;
--- a/src/ragwortdrift/tools/leaf/leaf_session.cpp
+++ b/src/ragwortdrift/tools/leaf/leaf_session.cpp
@@ -225,7 +225,7 @@
       });
 }
 
-void LeafSession::answer(http::status Status, boost::json::object Body,
+void LeafSession::answer(http::status Status, const boost::json::object &Body,
                          bool NotRun) {
   m_Phase = Phase::Answering;
   LeafModel &Model = m_Server.m_Model;
--- a/src/ragwortdrift/tools/leaf/leaf_session.hpp
+++ b/src/ragwortdrift/tools/leaf/leaf_session.hpp
@@ -36,8 +36,8 @@
   void finish(bool Completed);
   /// Ends the request when the peer closes the connection while it waits.
   void watchPeer();
-  void answer(boost::beast::http::status Status, boost::json::object Body,
-              bool NotRun = false);
+  void answer(boost::beast::http::status Status,
+              const boost::json::object &Body, bool NotRun = false);
   void write();
   std::string header(std::string_view Name) const;
 
