--- a/src/ragwortdrift/base/asio_timer_driver.cpp
+++ b/src/ragwortdrift/base/asio_timer_driver.cpp
@@ -8,13 +8,14 @@
 
 AsioTimerDriver::AsioTimerDriver(boost::asio::io_context &Io,
                                  TimerService &Timers)
-    : m_Timers(Timers), m_Timer(Io), m_Start(std::chrono::steady_clock::now()) {
+    : m_Timers(Timers), m_Timer(Io) {
+  refresh();
 }
 
 void AsioTimerDriver::start() { tick(); }
 
 void AsioTimerDriver::refresh() {
-  const auto Elapsed = std::chrono::steady_clock::now() - m_Start;
+  const auto Elapsed = std::chrono::steady_clock::now().time_since_epoch();
   m_Timers.advanceTo(TimePoint{std::chrono::duration_cast<Duration>(Elapsed)});
 }
 
