--- a/src/ragwortdrift/tools/leaf/leaf_model.cpp
+++ b/src/ragwortdrift/tools/leaf/leaf_model.cpp
@@ -101,10 +101,15 @@
   if (!m_Cold)
     return;
   m_ServedCold += 1;
-  if (m_ServedCold >= m_Options.warmRequests()) {
-    m_Cold = false;
-    m_Counters.m_WarmAt = Now;
-  }
+  if (m_ServedCold >= m_Options.warmRequests())
+    turnWarm(Now);
+}
+
+void LeafModel::turnWarm(TimePoint Now) {
+  if (!m_Cold)
+    return;
+  m_Cold = false;
+  m_Counters.m_WarmAt = Now;
 }
 
 void LeafModel::turnCold(TimePoint Now) {
--- a/src/ragwortdrift/tools/leaf/leaf_model.hpp
+++ b/src/ragwortdrift/tools/leaf/leaf_model.hpp
@@ -54,6 +54,8 @@
 
   /// The leaf starts anew with cold caches and a new boot id.
   void turnCold(TimePoint Now);
+  /// Ends a cold start at once; the boot id stays.
+  void turnWarm(TimePoint Now);
   /// The process restarts warm: only the boot id changes.
   void renewBootId();
   void setLeaving(bool Leaving, TimePoint Now);
--- a/src/ragwortdrift/tools/leaf/leaf_server.cpp
+++ b/src/ragwortdrift/tools/leaf/leaf_server.cpp
@@ -12,7 +12,7 @@
 
 using boost::system::error_code;
 
-constexpr std::array Commands{"cold", "silent",  "leaving",
+constexpr std::array Commands{"cold", "warm",    "silent", "leaving",
                               "down", "restart", "reset"};
 
 bool isCommand(std::string_view Key) {
@@ -123,6 +123,8 @@
   }
   if (IsSet("cold"))
     m_Model.turnCold(Now);
+  if (IsSet("warm"))
+    m_Model.turnWarm(Now);
   if (IsSet("silent"))
     for (const auto &Session : m_Sessions)
       Session->silence();
--- a/src/ragwortdrift/tools/leaf/leaf_server.hpp
+++ b/src/ragwortdrift/tools/leaf/leaf_server.hpp
@@ -28,9 +28,9 @@
 
   Result<Done, OptionError> listen();
 
-  /// Applies a control message: option keys, and the commands `cold`, `silent`,
-  /// `leaving`, `down`, `restart`, `reset` and `after_ms`. An error leaves the
-  /// leaf unchanged.
+  /// Applies a control message: option keys, and the commands `cold`, `warm`,
+  /// `silent`, `leaving`, `down`, `restart`, `reset` and `after_ms`. An error
+  /// leaves the leaf unchanged.
   Result<Done, OptionError> control(const boost::json::object &Message);
 
   boost::json::object summary() const;
--- a/src/ragwortdrift/tools/leaf/leaf_session.cpp
+++ b/src/ragwortdrift/tools/leaf/leaf_session.cpp
@@ -111,10 +111,10 @@
   m_Version = Version.empty() ? std::nullopt : parseNumber(Version);
   const auto DeadlineMs = parseNumber(header("Rd-Deadline-Ms"));
   if ((!Version.empty() && !m_Version) || !DeadlineMs)
-    return answer(http::status::bad_request, {{"error", "bad_header"}}, true);
+    return answer(http::status::bad_request, {{"error", "bad_header"}});
   if (header("Rd-Group") != m_Server.options().m_Group) {
     ++m_Server.m_WrongGroup;
-    return answer(http::status::bad_request, {{"error", "wrong_group"}}, true);
+    return answer(http::status::bad_request, {{"error", "wrong_group"}});
   }
   m_Deadline = steadyNow() + std::chrono::milliseconds(*DeadlineMs);
   m_Phase = Phase::Arriving;
@@ -140,8 +140,7 @@
     m_Server.m_Waiting.push_back(shared_from_this());
     return;
   case Admission::VersionMissing:
-    return answer(http::status::conflict, {{"error", "version_not_offered"}},
-                  true);
+    return answer(http::status::conflict, {{"error", "version_not_offered"}});
   case Admission::Shed:
     return answer(http::status::service_unavailable, {{"error", "shed"}}, true);
   case Admission::Leaving:
--- a/src/ragwortdrift/tools/load/histogram.cpp
+++ b/src/ragwortdrift/tools/load/histogram.cpp
@@ -51,6 +51,15 @@
   m_Max = std::max(m_Max, Other.m_Max);
 }
 
+std::vector<std::pair<std::uint64_t, std::uint64_t>>
+Histogram::buckets() const {
+  std::vector<std::pair<std::uint64_t, std::uint64_t>> Filled;
+  for (std::size_t I = 0; I < BucketCount; ++I)
+    if (m_Buckets[I] > 0)
+      Filled.emplace_back(valueOfBucket(I), m_Buckets[I]);
+  return Filled;
+}
+
 Duration Histogram::quantile(double Q) const {
   if (m_Count == 0)
     return Duration{0};
--- a/src/ragwortdrift/tools/load/histogram.hpp
+++ b/src/ragwortdrift/tools/load/histogram.hpp
@@ -4,6 +4,7 @@
 #include "ragwortdrift/base/time.hpp"
 
 #include <cstdint>
+#include <utility>
 #include <vector>
 
 namespace ragwortdrift::tools {
@@ -21,6 +22,8 @@
   /// The value that a share Q of the values does not exceed, 0 to 1; zero when
   /// there are none.
   Duration quantile(double Q) const;
+  /// The filled buckets as (middle in us, count), in order.
+  std::vector<std::pair<std::uint64_t, std::uint64_t>> buckets() const;
 
 private:
   std::vector<std::uint64_t> m_Buckets;
--- a/src/ragwortdrift/tools/load/load_plan.hpp
+++ b/src/ragwortdrift/tools/load/load_plan.hpp
@@ -54,6 +54,7 @@
   std::string m_IdPrefix = "q";
   std::size_t m_BodyBytes = 64;
   double m_ProgressSeconds = 1;
+  bool m_ReportHistogram = false;
 };
 
 /// Parses "ip:port" or "ip:port@ip:port" (caller address @ admin address).
--- a/src/ragwortdrift/tools/load/plain_backend.cpp
+++ b/src/ragwortdrift/tools/load/plain_backend.cpp
@@ -113,7 +113,9 @@
                                       numberOf(Part["Rd-Snapshot"]),
                                       std::move(Part.body())});
           } else {
-            State->m_LeafRefused = valueOf(Answer)["Rd-Not-Run"] == "1";
+            State->m_LeafRefused =
+                valueOf(Answer)["Rd-Not-Run"] == "1" ||
+                valueOf(Answer).result() == http::status::conflict;
           }
           if (--State->m_Open == 0)
             finish(*State, IsBooking);
--- a/src/ragwortdrift/tools/load_main.cpp
+++ b/src/ragwortdrift/tools/load_main.cpp
@@ -80,6 +80,9 @@
       options::value(&Plan.m_ProgressSeconds)
           ->default_value(Plan.m_ProgressSeconds),
       "seconds between progress lines; 0 for none");
+  Add("histogram", options::bool_switch(&Plan.m_ReportHistogram),
+      "add the latency histogram to the report, as pairs of microseconds and "
+      "counts");
   return All;
 }
 
@@ -204,7 +207,14 @@
         checkRecords(Stats.m_Ledger, valueOf(After), Plan.m_IdPrefix + "-");
   const std::uint64_t LeafRequests =
       countArrived(valueOf(After)) - countArrived(valueOf(Before));
-  const auto Report = toJson(Stats, Records, LeafRequests, Plan.m_Seconds);
+  auto Report = toJson(Stats, Records, LeafRequests, Plan.m_Seconds);
+  Report["records_checked"] = !Plan.m_LeafControls.empty();
+  if (Plan.m_ReportHistogram) {
+    boost::json::array Buckets;
+    for (const auto &[Micros, Count] : Stats.m_Latency.buckets())
+      Buckets.push_back(boost::json::array{Micros, Count});
+    Report["histogram_us"] = std::move(Buckets);
+  }
   std::cout << boost::json::serialize(Report) << "\n";
   return Report.at("violations").to_number<std::uint64_t>() > 0 ? ExitViolations
                                                                 : 0;
