--- a/include/ragwortdrift/node/query.hpp
+++ b/include/ragwortdrift/node/query.hpp
@@ -35,7 +35,7 @@
   std::string m_Body;
 };
 
-enum class RefusalCode : std::uint8_t {
+enum class QueryRefusalCode : std::uint8_t {
   BadRequest,
   UnknownService,
   TooLarge,
@@ -52,35 +52,40 @@
   KeyInProgress,
   Internal
 };
-template <> struct EnumNames<RefusalCode> {
+template <> struct EnumNames<QueryRefusalCode> {
   static constexpr std::array Entries{
-      EnumName<RefusalCode>{RefusalCode::BadRequest, "bad_request"},
-      EnumName<RefusalCode>{RefusalCode::UnknownService, "unknown_service"},
-      EnumName<RefusalCode>{RefusalCode::TooLarge, "too_large"},
-      EnumName<RefusalCode>{RefusalCode::Overloaded, "overloaded"},
-      EnumName<RefusalCode>{RefusalCode::Stopping, "stopping"},
-      EnumName<RefusalCode>{RefusalCode::NoConfiguration, "no_configuration"},
-      EnumName<RefusalCode>{RefusalCode::NoQuorum, "no_quorum"},
-      EnumName<RefusalCode>{RefusalCode::CoverageTooLow, "coverage_too_low"},
-      EnumName<RefusalCode>{RefusalCode::DeadlineExceeded, "deadline_exceeded"},
-      EnumName<RefusalCode>{RefusalCode::Unavailable, "unavailable"},
-      EnumName<RefusalCode>{RefusalCode::MayHaveRun, "may_have_run"},
-      EnumName<RefusalCode>{RefusalCode::KeyReused, "key_reused"},
-      EnumName<RefusalCode>{RefusalCode::KeyExpired, "key_expired"},
-      EnumName<RefusalCode>{RefusalCode::KeyInProgress, "key_in_progress"},
-      EnumName<RefusalCode>{RefusalCode::Internal, "internal"}};
+      EnumName<QueryRefusalCode>{QueryRefusalCode::BadRequest, "bad_request"},
+      EnumName<QueryRefusalCode>{QueryRefusalCode::UnknownService,
+                                 "unknown_service"},
+      EnumName<QueryRefusalCode>{QueryRefusalCode::TooLarge, "too_large"},
+      EnumName<QueryRefusalCode>{QueryRefusalCode::Overloaded, "overloaded"},
+      EnumName<QueryRefusalCode>{QueryRefusalCode::Stopping, "stopping"},
+      EnumName<QueryRefusalCode>{QueryRefusalCode::NoConfiguration,
+                                 "no_configuration"},
+      EnumName<QueryRefusalCode>{QueryRefusalCode::NoQuorum, "no_quorum"},
+      EnumName<QueryRefusalCode>{QueryRefusalCode::CoverageTooLow,
+                                 "coverage_too_low"},
+      EnumName<QueryRefusalCode>{QueryRefusalCode::DeadlineExceeded,
+                                 "deadline_exceeded"},
+      EnumName<QueryRefusalCode>{QueryRefusalCode::Unavailable, "unavailable"},
+      EnumName<QueryRefusalCode>{QueryRefusalCode::MayHaveRun, "may_have_run"},
+      EnumName<QueryRefusalCode>{QueryRefusalCode::KeyReused, "key_reused"},
+      EnumName<QueryRefusalCode>{QueryRefusalCode::KeyExpired, "key_expired"},
+      EnumName<QueryRefusalCode>{QueryRefusalCode::KeyInProgress,
+                                 "key_in_progress"},
+      EnumName<QueryRefusalCode>{QueryRefusalCode::Internal, "internal"}};
 };
 
 /// Why a caller gets no answer. m_NotRun is true only when no part of the
 /// request ran at a leaf and none will.
 struct Refusal {
-  RefusalCode m_Code = RefusalCode::Internal;
+  QueryRefusalCode m_Code = QueryRefusalCode::Internal;
   bool m_NotRun = false;
   std::string m_Detail;
 };
 
 /// The HTTP status of a refusal.
-unsigned httpStatusOf(RefusalCode Code);
+unsigned httpStatusOf(QueryRefusalCode Code);
 
 /// The part of an answer that one group gave.
 struct QueryPart {
--- a/src/ragwortdrift/node/caller_api.cpp
+++ b/src/ragwortdrift/node/caller_api.cpp
@@ -19,7 +19,7 @@
 constexpr std::chrono::milliseconds MaxDeadline{60'000};
 
 Refusal badRequest(std::string Detail) {
-  return {RefusalCode::BadRequest, true, std::move(Detail)};
+  return {QueryRefusalCode::BadRequest, true, std::move(Detail)};
 }
 
 std::optional<std::string_view> header(const HttpRequest &Request,
@@ -142,29 +142,29 @@
 
 } // namespace
 
-unsigned httpStatusOf(RefusalCode Code) {
+unsigned httpStatusOf(QueryRefusalCode Code) {
   switch (Code) {
-  case RefusalCode::BadRequest:
+  case QueryRefusalCode::BadRequest:
     return 400;
-  case RefusalCode::UnknownService:
+  case QueryRefusalCode::UnknownService:
     return 404;
-  case RefusalCode::TooLarge:
+  case QueryRefusalCode::TooLarge:
     return 413;
-  case RefusalCode::Overloaded:
-  case RefusalCode::Stopping:
-  case RefusalCode::NoConfiguration:
-  case RefusalCode::NoQuorum:
-  case RefusalCode::Unavailable:
+  case QueryRefusalCode::Overloaded:
+  case QueryRefusalCode::Stopping:
+  case QueryRefusalCode::NoConfiguration:
+  case QueryRefusalCode::NoQuorum:
+  case QueryRefusalCode::Unavailable:
     return 503;
-  case RefusalCode::CoverageTooLow:
-  case RefusalCode::DeadlineExceeded:
+  case QueryRefusalCode::CoverageTooLow:
+  case QueryRefusalCode::DeadlineExceeded:
     return 504;
-  case RefusalCode::MayHaveRun:
-  case RefusalCode::KeyReused:
-  case RefusalCode::KeyExpired:
-  case RefusalCode::KeyInProgress:
+  case QueryRefusalCode::MayHaveRun:
+  case QueryRefusalCode::KeyReused:
+  case QueryRefusalCode::KeyExpired:
+  case QueryRefusalCode::KeyInProgress:
     return 409;
-  case RefusalCode::Internal:
+  case QueryRefusalCode::Internal:
     return 500;
   }
   return 500;
--- a/src/ragwortdrift/node/query_engine.cpp
+++ b/src/ragwortdrift/node/query_engine.cpp
@@ -91,21 +91,21 @@
 std::optional<Refusal> QueryEngine::check(const QueryRequest &Request) const {
   if (!m_View || !m_View->m_Catalog ||
       m_View->m_Catalog->m_Revision == Revision{0})
-    return Refusal{RefusalCode::NoConfiguration, true,
+    return Refusal{QueryRefusalCode::NoConfiguration, true,
                    "no configuration was received yet"};
   const Catalog &Current = *m_View->m_Catalog;
   const auto Found = Current.m_Services.find(Request.m_Service);
   if (Found == Current.m_Services.end())
-    return Refusal{RefusalCode::UnknownService, true,
+    return Refusal{QueryRefusalCode::UnknownService, true,
                    "service " + Request.m_Service.m_Value +
                        " is not in the manifest"};
   if (Request.m_Body.size() > Current.m_Limits.m_MaxBodyBytes)
-    return Refusal{RefusalCode::TooLarge, true,
+    return Refusal{QueryRefusalCode::TooLarge, true,
                    "the body exceeds " +
                        std::to_string(Current.m_Limits.m_MaxBodyBytes) +
                        " bytes"};
   if (Request.m_Booking && Found->second->m_Kind != ServiceKind::Single)
-    return Refusal{RefusalCode::BadRequest, true,
+    return Refusal{QueryRefusalCode::BadRequest, true,
                    "a request that is not repeatable needs a service of kind "
                    "single"};
   return std::nullopt;
@@ -125,7 +125,7 @@
   if (!isOk(Admitted)) {
     ++m_Counts.m_Refused;
     const AdmissionRefusal &Full = errorOf(Admitted);
-    Fn(Refusal{RefusalCode::Overloaded, true,
+    Fn(Refusal{QueryRefusalCode::Overloaded, true,
                std::to_string(Full.m_InFlight) +
                    " queries are in flight, the limit is " +
                    std::to_string(Full.m_Limit)});
--- a/src/ragwortdrift/node/query_run.cpp
+++ b/src/ragwortdrift/node/query_run.cpp
@@ -85,7 +85,8 @@
 }
 
 void QueryRun::cancel() {
-  end(Refusal{RefusalCode::DeadlineExceeded, false, "cancelled by the caller"},
+  end(Refusal{QueryRefusalCode::DeadlineExceeded, false,
+              "cancelled by the caller"},
       AdmissionOutcome::Ignored);
 }
 
@@ -453,12 +454,12 @@
   const bool AnyOpen = std::any_of(m_Attempts.begin(), m_Attempts.end(),
                                    [](const Attempt &Of) { return Of.m_Open; });
   if (!AnyOpen && !m_MayHaveRun)
-    return {RefusalCode::Unavailable, true,
+    return {QueryRefusalCode::Unavailable, true,
             "no replica of the service accepts the request"};
   if (booking())
-    return {RefusalCode::MayHaveRun, false,
+    return {QueryRefusalCode::MayHaveRun, false,
             "the deadline passed after the request was sent"};
-  return {RefusalCode::DeadlineExceeded, false,
+  return {QueryRefusalCode::DeadlineExceeded, false,
           "no group answered before the deadline"};
 }
 
@@ -475,7 +476,7 @@
   const double Coverage =
       static_cast<double>(Answer.m_Parts.size()) / Answer.m_GroupsAsked;
   if (Coverage < m_Request.m_MinCoverage) {
-    end(Refusal{RefusalCode::CoverageTooLow, false,
+    end(Refusal{QueryRefusalCode::CoverageTooLow, false,
                 "answered " + std::to_string(Answer.m_Parts.size()) + " of " +
                     std::to_string(Answer.m_GroupsAsked) + " groups"},
         AdmissionOutcome::Overloaded);
@@ -488,7 +489,7 @@
 
 void QueryRun::finishBooking(RelayAnswer Answer, const Attempt &Of) {
   if (Answer.m_Status != RelayStatus::Answered) {
-    end(Refusal{RefusalCode::MayHaveRun, false,
+    end(Refusal{QueryRefusalCode::MayHaveRun, false,
                 "the connection to the upstream failed after the request was "
                 "sent"},
         AdmissionOutcome::Ignored);
--- a/src/ragwortdrift/node/query_run.hpp
+++ b/src/ragwortdrift/node/query_run.hpp
@@ -22,8 +22,8 @@
   ServiceRouting(std::shared_ptr<const Service> Of, FailureDomain Own,
                  std::uint64_t Seed, const Limits &Bounds)
       : m_Service(Of), m_Replicas(Of, std::move(Own), Seed),
-        m_Hedging(Bounds.m_HedgeRatio), m_Budget(Bounds.m_HedgeRatio),
-        m_Snapshots(Of), m_Admission({.m_Max = Bounds.m_MaxInFlight}) {}
+        m_Budget(Bounds.m_HedgeRatio), m_Snapshots(Of),
+        m_Admission({.m_Max = Bounds.m_MaxInFlight}) {}
 
   std::shared_ptr<const Service> m_Service;
   ReplicaChooser m_Replicas;
--- a/src/ragwortdrift/node/traffic_thread.cpp
+++ b/src/ragwortdrift/node/traffic_thread.cpp
@@ -120,7 +120,7 @@
     return;
   }
   if (m_Refusing) {
-    respond(*Exchange, Refusal{RefusalCode::Stopping, true,
+    respond(*Exchange, Refusal{QueryRefusalCode::Stopping, true,
                                "this entry VM is shutting down"});
     return;
   }
