--- a/include/ragwortdrift/node/booking.hpp
+++ b/include/ragwortdrift/node/booking.hpp
@@ -34,6 +34,8 @@
   /// the release was committed.
   std::function<void(const IdempotencyKey &Key, std::function<void(bool)> Fn)>
       m_Release;
+  /// Leaves a claim without an outcome because the request may have run.
+  std::function<void(const IdempotencyKey &Key)> m_Abandon;
 };
 
 } // namespace ragwortdrift
--- /dev/null
+++ b/include/ragwortdrift/node/control_node.hpp
@@ -0,0 +1,109 @@
+#ifndef RAGWORTDRIFT_NODE_CONTROL_NODE_HPP
+#define RAGWORTDRIFT_NODE_CONTROL_NODE_HPP
+
+#include "ragwortdrift/base/asio_timer_driver.hpp"
+#include "ragwortdrift/config/settings.hpp"
+#include "ragwortdrift/consensus/replicated_log.hpp"
+#include "ragwortdrift/net/http_server.hpp"
+#include "ragwortdrift/net/peer_client.hpp"
+#include "ragwortdrift/net/peer_server.hpp"
+#include "ragwortdrift/node/admin_messages.hpp"
+#include "ragwortdrift/node/booking.hpp"
+#include "ragwortdrift/node/command_router.hpp"
+#include "ragwortdrift/node/control_view.hpp"
+#include "ragwortdrift/node/traffic_thread.hpp"
+#include "ragwortdrift/state/replicated_state.hpp"
+
+#include <set>
+
+namespace ragwortdrift {
+
+/// Why a daemon cannot start.
+using StartError = std::variant<StoreError, NetError, HttpError>;
+
+/// The control thread of a daemon: the replicated log, membership, leases, the
+/// configuration in force and the operators' endpoint. All members but
+/// claims() and the constructor are used on the thread that runs run().
+class ControlNode {
+public:
+  ControlNode(const Settings &Of, Incarnation Started);
+  ~ControlNode();
+
+  /// Booking commands for the traffic threads; the functions are thread-safe.
+  BookingClaims claims();
+  void setTraffic(std::vector<TrafficThread *> Threads);
+  /// Opens the data folder and the listening addresses.
+  Result<Done, StartError> start();
+  /// Runs until a graceful stop has ended, or stopNow().
+  void run();
+  /// Thread-safe and safe in a signal handler's thread.
+  void beginStop();
+  void stopNow();
+
+  // The operators' calls; see AdminControl.
+  void submit(Command Of, ControlCallback<CommandResult> Fn);
+  void changeVoter(const VoterChange &Change, ControlCallback<Done> Fn);
+  void status(ControlCallback<ControlStatus> Fn);
+  void manifest(ControlCallback<ManifestText> Fn);
+  void customer(const CustomerId &Name,
+                ControlCallback<std::optional<CustomerRecord>> Fn);
+  void takeSnapshot(ControlCallback<SnapshotReport> Fn);
+  void readiness(std::function<void(Readiness)> Fn);
+  void metrics(std::function<void(std::string)> Fn);
+
+private:
+  struct AdminEndpoint;
+
+  void handlePeers();
+  void sendRaft(const std::string &Address, std::string Bytes);
+  std::vector<Endpoint> commandAddresses() const;
+  void onApplied(LogIndex Index, const std::string &Payload);
+  void onRestored(const std::string &Bytes);
+  void takeConfiguration(Revision Rev, Document Doc);
+  void pullConfiguration();
+  void registerSelf();
+  void updateOwnership();
+  void publish();
+  void claim(const QueryRequest &Request, Duration Timeout,
+             std::function<void(ClaimOutcome)> Fn);
+  void onClaimResult(const IdempotencyKey &Key, CommandOutcome Outcome,
+                     const std::function<void(ClaimOutcome)> &Fn);
+  Refusal refusalOfPending(const ClaimPending &Pending) const;
+  bool holderAlive(const VmId &Holder, Incarnation Of) const;
+  void record(const IdempotencyKey &Key, RecordedOutcome Outcome);
+  void release(const IdempotencyKey &Key, unsigned TriesLeft,
+               std::function<void(bool)> Fn);
+
+  Settings m_Settings;
+  Incarnation m_Incarnation;
+  boost::asio::io_context m_Io;
+  TimerService m_Timers;
+  AsioTimerDriver m_Driver;
+  PeerServer m_PeerServer;
+  PeerClient m_PeerClient;
+  ReplicatedState m_State;
+  std::unique_ptr<ReplicatedLog> m_Log;
+  CommandRouter m_Commands;
+  std::unique_ptr<AdminEndpoint> m_Admin;
+  HttpServer m_AdminServer;
+  std::vector<TrafficThread *> m_Traffic;
+
+  Revision m_Revision;
+  Document m_Document;
+  std::shared_ptr<const Catalog> m_Catalog;
+  TimePoint m_FreshUntil;
+  std::map<std::string, VmId> m_Owners;
+  std::map<std::string, TimePoint> m_Leases;
+  /// Keys of bookings that this VM is running or whose claim is in doubt.
+  std::set<IdempotencyKey> m_OpenKeys;
+  PeerCall m_Pull;
+  std::size_t m_NextSource = 0;
+  bool m_Registering = false;
+  bool m_Stopping = false;
+  std::size_t m_Undrained = 0;
+  std::vector<TimerService::Subscription> m_Periodic;
+};
+
+} // namespace ragwortdrift
+
+#endif
