--- a/include/ragwortdrift/node/control_node.hpp
+++ b/include/ragwortdrift/node/control_node.hpp
@@ -7,7 +7,7 @@
 #include "ragwortdrift/net/http_server.hpp"
 #include "ragwortdrift/net/peer_client.hpp"
 #include "ragwortdrift/net/peer_server.hpp"
-#include "ragwortdrift/node/admin_messages.hpp"
+#include "ragwortdrift/node/admin_api.hpp"
 #include "ragwortdrift/node/booking.hpp"
 #include "ragwortdrift/node/command_router.hpp"
 #include "ragwortdrift/node/control_view.hpp"
--- a/src/ragwortdrift/node/control_node.cpp
+++ b/src/ragwortdrift/node/control_node.cpp
@@ -2,7 +2,6 @@
 
 #include "ragwortdrift/base/hash.hpp"
 #include "ragwortdrift/base/log.hpp"
-#include "ragwortdrift/node/admin_api.hpp"
 
 #include <boost/asio/post.hpp>
 
@@ -108,10 +107,11 @@
       m_AdminServer(m_Io, adminLimits(),
                     [this](const std::shared_ptr<HttpExchange> &Exchange) {
                       m_Driver.refresh();
-                      m_Admin->m_Api.handle(Exchange->request(),
-                                     [Exchange](AdminHttpResponse Response) {
-                                       Exchange->respond(std::move(Response));
-                                     });
+                      m_Admin->m_Api.handle(
+                          Exchange->request(),
+                          [Exchange](AdminHttpResponse Response) {
+                            Exchange->respond(std::move(Response));
+                          });
                     }) {}
 
 ControlNode::~ControlNode() = default;
