--- a/scripts/lab/deployment.py
+++ b/scripts/lab/deployment.py
@@ -75,6 +75,7 @@
         self.manifest.write_text(sites.manifest_text(site, base_port + LEAF_OFFSET))
         self.leaf_processes = {}
         self.vms = []
+        self.last_order = None
         for index, domain in enumerate(site.domains):
             for replica in range(vms_per_domain):
                 name = f"{domain}-{replica + 1}"
@@ -157,8 +158,29 @@
         for vm in self.vms:
             if not vm.process.running():
                 raise DeploymentFailed(f"{vm.name} ended: {self.tail(vm.process)}")
-        code, text = self.ctl("submit", "--manifest", self.manifest)
-        self.last_order = text
+        return self.submit(self.manifest.read_text(), "first")
+
+    def submit(self, text, submit_id, base_revision=None, vm=None):
+        """Submits a manifest; True when it is accepted. The answer is kept in last_order."""
+        headers = {"Rd-Submit-Id": submit_id}
+        if base_revision is not None:
+            headers["Rd-Base-Revision"] = str(base_revision)
+        return self.order("/admin/submit", text, headers, vm)
+
+    def order(self, path, body, headers, vm=None, timeout_s=10):
+        """Sends an order to a VM's admin port; True when it is accepted."""
+        try:
+            status, answer = http.request((vm or self.vms[0]).admin, "POST", path, body, headers, timeout_s)
+        except http.Unreachable as error:
+            self.last_order = (0, str(error))
+            return False
+        self.last_order = (status, answer)
+        return status == 200
+
+    def domain_order(self, domain, state, vm=None):
+        """Takes a failure domain `out`, or back `in`; True when the order is accepted."""
+        code, text = self.ctl("domain", state, domain, vm=vm)
+        self.last_order = (code, text)
         return code == 0
 
     def ready(self, vm):
