--- a/scripts/lab/context.py
+++ b/scripts/lab/context.py
@@ -1,8 +1,8 @@
 """What all experiments share: arguments, interleaved slices and the form of the result."""
 
 import dataclasses
-import random
 import time
+from random import Random
 
 from lab import load, sites
 from lab.deployment import Deployment
@@ -20,10 +20,10 @@
     seed: int
     seconds: float
     base_port: int
-    random: random.Random = None
+    random: Random = dataclasses.field(init=False)
 
     def __post_init__(self):
-        self.random = random.Random(self.seed)
+        self.random = Random(self.seed)
 
     def fanout(self):
         """Names of the services whose groups are all asked."""
