--- a/src/ragwortdrift/tools/load/load_worker.cpp
+++ b/src/ragwortdrift/tools/load/load_worker.cpp
@@ -36,9 +36,10 @@
 LoadWorker::LoadWorker(const LoadPlan &Plan, unsigned Index)
     : m_Plan(Plan), m_Index(Index), m_ArrivalTimer(m_Io), m_EndTimer(m_Io),
       m_Random(Plan.m_Seed * 1000 + Index),
+      m_CallerRandom(Plan.m_Seed * 1000 + Index + 500),
       m_Gap(Plan.m_Rate / Plan.m_Threads) {
   if (Plan.m_Plain)
-    m_Backend = std::make_unique<PlainBackend>(m_Io, Plan, m_Random());
+    m_Backend = std::make_unique<PlainBackend>(m_Io, Plan, m_CallerRandom());
   else
     m_Backend = std::make_unique<EntryBackend>(m_Io, Plan);
   std::vector<double> Weights;
@@ -152,8 +153,8 @@
   Duration Timeout =
       std::chrono::milliseconds(Request.m_DeadlineMs) + LateGrace;
   if (Abandons)
-    Timeout = fromMillis(
-        std::uniform_real_distribution<double>(0, AbandonMaxMs)(m_Random));
+    Timeout = fromMillis(std::uniform_real_distribution<double>(
+        0, AbandonMaxMs)(m_CallerRandom));
   m_Backend->send(
       Request, Timeout,
       [this, Asked, Request, SentAt, Abandons](const CallerOutcome &Outcome) {
--- a/src/ragwortdrift/tools/load/load_worker.hpp
+++ b/src/ragwortdrift/tools/load/load_worker.hpp
@@ -44,7 +44,7 @@
   void later(Duration Delay, std::function<void()> Work);
   void waitForEnd();
   bool roll(double Probability) {
-    return std::bernoulli_distribution(Probability)(m_Random);
+    return std::bernoulli_distribution(Probability)(m_CallerRandom);
   }
 
   const LoadPlan &m_Plan;
@@ -53,7 +53,11 @@
   boost::asio::steady_timer m_ArrivalTimer;
   boost::asio::steady_timer m_EndTimer;
   std::unique_ptr<Backend> m_Backend;
+  /// Arrivals and their services: the same for the same seed, whatever the
+  /// answers are.
   std::mt19937_64 m_Random;
+  /// What callers do with their requests.
+  std::mt19937_64 m_CallerRandom;
   std::exponential_distribution<double> m_Gap;
   std::discrete_distribution<std::size_t> m_ChooseMix;
   TimePoint m_NextArrival;
