--- a/scripts/lab/context.py
+++ b/scripts/lab/context.py
@@ -1,6 +1,7 @@
 """What all experiments share: arguments, interleaved slices and the form of the result."""
 
 import dataclasses
+import sys
 import time
 from random import Random
 
@@ -72,7 +73,11 @@
                     before(half, index)
                 length = seconds_of(half) if seconds_of else seconds
                 run = self._start(half, index, length)
-                extra = during(half, index, run) if during else None
+                try:
+                    extra = during(half, index, run) if during else None
+                except BaseException:
+                    run.abort()
+                    raise
                 self.reports[half].append(run.finish())
                 self.extras[half].append(extra or {})
         return self
@@ -88,7 +93,13 @@
 
     def result(self):
         """The joined halves as (policy, baseline)."""
-        return load.join(self.reports[POLICY]), load.join(self.reports[BASELINE])
+        policy, baseline = load.join(self.reports[POLICY]), load.join(self.reports[BASELINE])
+        exits = self.deployment.unexpected_exits()
+        for text in exits:
+            print(f"{self.context.name}: {text}", file=sys.stderr)
+        policy["daemon_exits"] = len(exits)
+        policy["violations"] += len(exits)
+        return policy, baseline
 
     def extra(self, half, key):
         """The values of one key of all slices of a half."""
--- a/scripts/lab/load.py
+++ b/scripts/lab/load.py
@@ -47,6 +47,12 @@
     def running(self):
         return self.child.poll() is None
 
+    def abort(self):
+        """Ends the load tool without a report."""
+        self.child.kill()
+        self.reader.join()
+        self.child.wait()
+
     def finish(self):
         """Waits for the end; returns the report."""
         self.reader.join()
--- a/src/ragwortdrift/tools/load/plain_backend.cpp
+++ b/src/ragwortdrift/tools/load/plain_backend.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Time that the plain client keeps for joining its answer.
+constexpr std::chrono::milliseconds ClientMargin{10};
+
 /// The answers of one plain search that are still expected.
 struct Gathering {
   const ServiceView *m_Service = nullptr;
@@ -86,7 +89,7 @@
       Timeout,
       std::chrono::milliseconds(Request.m_DeadlineMs) -
           Duration(static_cast<Duration::rep>(m_Plan.m_CallerDelayMs * 2000)) -
-          std::chrono::milliseconds(5));
+          ClientMargin);
   for (const auto &[Group, Leafs] : Service.m_Groups) {
     const LeafView &Leaf = Leafs[std::uniform_int_distribution<std::size_t>(
         0, Leafs.size() - 1)(m_Random)];
