--- a/include/ragwortdrift/consensus/replicated_log.hpp
+++ b/include/ragwortdrift/consensus/replicated_log.hpp
@@ -30,6 +30,12 @@
   /// How long addVoter() waits for the new voter to hold the whole log.
   Duration m_CatchUpTimeout = std::chrono::seconds(30);
   LogIndex m_SnapshotEntries = 1000;
+  /// Entries before a snapshot that stay in memory for followers that lag a
+  /// little.
+  LogIndex m_TrailingEntries = 200;
+  /// Payload bytes in one append message, and bytes of a snapshot part. One
+  /// entry is always sent whole.
+  std::size_t m_MaxMessageBytes = std::size_t{256} * 1024;
   /// Below the bound of 1 MiB of a peer message, with room for its framing.
   std::size_t m_MaxPayloadBytes = std::size_t{512} * 1024;
 };
--- /dev/null
+++ b/src/ragwortdrift/consensus/consensus_fuzz_main.cpp
@@ -0,0 +1,86 @@
+#include "ragwortdrift/testing/consensus_fuzz.hpp"
+
+#include <boost/program_options.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+namespace {
+
+using namespace ragwortdrift;
+
+struct FuzzOptions {
+  std::uint64_t m_First = 0;
+  std::uint64_t m_Last = 0;
+  std::chrono::seconds m_Faulty{20};
+  unsigned m_Jobs = 1;
+  bool m_Trace = false;
+};
+
+/// Runs all seeds; the number of failed ones.
+std::uint64_t runAll(const FuzzOptions &Options) {
+  std::atomic<std::uint64_t> Next = Options.m_First;
+  std::atomic<std::uint64_t> Failed = 0;
+  std::atomic<std::uint64_t> Acknowledged = 0;
+  std::mutex Output;
+  auto Work = [&] {
+    for (std::uint64_t Seed = Next++; Seed <= Options.m_Last; Seed = Next++) {
+      try {
+        Acknowledged +=
+            ConsensusFuzz(Seed, Options.m_Trace).run(Options.m_Faulty);
+      } catch (const SimFailure &Failure) {
+        ++Failed;
+        std::scoped_lock Lock(Output);
+        std::cout << "seed " << Seed << ": " << Failure.what() << "\n";
+      }
+    }
+  };
+  std::vector<std::thread> Threads;
+  for (unsigned I = 0; I < Options.m_Jobs; ++I)
+    Threads.emplace_back(Work);
+  for (std::thread &Thread : Threads)
+    Thread.join();
+  std::cout << Options.m_Last - Options.m_First + 1 - Failed
+            << " seeds passed, " << Failed << " failed, " << Acknowledged
+            << " proposals acknowledged\n";
+  return Failed;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  namespace po = boost::program_options;
+  FuzzOptions Options;
+  std::string Seeds;
+  unsigned Seconds = 20;
+  po::options_description Described("consensus_fuzz: random faults against the "
+                                    "replicated log, in virtual time");
+  // clang-format off
+  Described.add_options()
+    ("help", "print this text")
+    ("seeds", po::value(&Seeds)->required(), "A..B, both included")
+    ("seconds", po::value(&Seconds)->default_value(20), "virtual seconds with faults for each seed")
+    ("jobs", po::value(&Options.m_Jobs)->default_value(4), "threads")
+    ("trace", po::bool_switch(&Options.m_Trace), "print faults and changes");
+  // clang-format on
+  try {
+    po::variables_map Values;
+    po::store(po::parse_command_line(Argc, Argv, Described), Values);
+    if (Values.count("help")) {
+      std::cout << Described;
+      return 0;
+    }
+    po::notify(Values);
+    std::size_t Dots = Seeds.find("..");
+    Options.m_First = std::stoull(Seeds);
+    Options.m_Last = Dots == std::string::npos
+                         ? Options.m_First
+                         : std::stoull(Seeds.substr(Dots + 2));
+  } catch (const std::exception &Error) {
+    std::cerr << "consensus_fuzz: " << Error.what() << "\n" << Described;
+    return 2;
+  }
+  Options.m_Faulty = std::chrono::seconds(Seconds);
+  return runAll(Options) == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/src/ragwortdrift/testing/consensus_fuzz.hpp
@@ -0,0 +1,169 @@
+#ifndef RAGWORTDRIFT_TESTING_CONSENSUS_FUZZ_HPP
+#define RAGWORTDRIFT_TESTING_CONSENSUS_FUZZ_HPP
+
+#include "ragwortdrift/testing/consensus_sim.hpp"
+
+namespace ragwortdrift {
+
+/// One run of the replicated log under random faults, in virtual time. Throws
+/// SimFailure when a rule does not hold.
+class ConsensusFuzz {
+public:
+  ConsensusFuzz(std::uint64_t Seed, bool Trace)
+      : m_Sim(Seed, /*Voters=*/1 + Seed % 5, /*Spares=*/2) {
+    m_Sim.m_Trace = Trace;
+  }
+
+  /// Faults for the given time, then none; returns how many proposals were
+  /// acknowledged.
+  std::size_t run(Duration Faulty) {
+    m_Sim.m_CrashInOpenPercent = 20;
+    while (m_Sim.now() < TimePoint{Faulty}) {
+      m_Sim.run(std::chrono::milliseconds(1 + m_Sim.draw(30)));
+      act();
+    }
+    endFaults();
+    checkRecovery();
+    m_Sim.oracle().checkAcknowledged();
+    return m_Sim.oracle().acknowledgedCount();
+  }
+
+private:
+  using Node = ConsensusSim::Node;
+
+  void act() {
+    Node &N = m_Sim.randomNode();
+    Node *Leader = m_Sim.leader();
+    std::uint64_t Kind = m_Sim.draw(1000);
+    auto Is = [&](unsigned Weight) {
+      bool Chosen = Kind < Weight;
+      Kind -= Chosen ? 0 : Weight;
+      return Chosen;
+    };
+    if (Is(600))
+      proposeSome(Leader && !m_Sim.chance(10) ? *Leader : N);
+    else if (Is(60))
+      m_Sim.read(Leader && m_Sim.chance(70) ? *Leader : N);
+    else if (Is(20))
+      changeNetwork();
+    else if (Is(12))
+      cut(Leader && m_Sim.chance(50) ? *Leader : N);
+    else if (Is(30))
+      m_Sim.healNetwork();
+    else if (Is(12))
+      m_Sim.stop(Leader && m_Sim.chance(40) ? *Leader : N, m_Sim.chance(60));
+    else if (Is(60))
+      repair(N);
+    else if (Is(25))
+      N.m_Disk->crashIn(1 + m_Sim.draw(12));
+    else if (Is(4))
+      N.m_Disk->setFull(true);
+    else if (Is(3))
+      N.m_Disk->setSyncFails(true);
+    else if (Is(8))
+      loseDisk(Leader && m_Sim.chance(30) ? *Leader : N);
+    else if (Is(60))
+      add(N);
+    else if (Is(12))
+      remove(N);
+    else if (Is(8) && Leader)
+      Leader->m_Log->transferLeadership();
+  }
+
+  void proposeSome(Node &N) {
+    for (std::uint64_t Count = 1 + m_Sim.draw(4); Count > 0; --Count)
+      m_Sim.propose(N);
+  }
+
+  void changeNetwork() {
+    m_Sim.m_LossPercent = m_Sim.chance(50) ? 0 : m_Sim.draw(30);
+    m_Sim.m_RepeatPercent = m_Sim.chance(50) ? 0 : m_Sim.draw(20);
+    m_Sim.m_DelayPercent = m_Sim.chance(50) ? 0 : m_Sim.draw(30);
+  }
+
+  void cut(Node &N) {
+    m_Sim.trace(N.m_Vm.m_Value + " is cut off");
+    Node &Other = m_Sim.randomNode();
+    if (m_Sim.chance(60))
+      m_Sim.cutOff(N.m_Vm);
+    else
+      m_Sim.block(N.m_Vm, Other.m_Vm);
+  }
+
+  void repair(Node &N) {
+    N.m_Disk->setFull(false);
+    N.m_Disk->setSyncFails(false);
+    if (N.m_Log && N.m_Log->status().m_StoreError)
+      m_Sim.stop(N, m_Sim.chance(50));
+    m_Sim.start(N);
+  }
+
+  void loseDisk(Node &N) {
+    if (m_Sim.canLoseDisk(N.m_Vm))
+      m_Sim.loseDisk(N);
+  }
+
+  void add(Node &N) {
+    Node *Leader = m_Sim.leader();
+    if (!Leader || !N.m_Log)
+      return;
+    m_Sim.trace("add " + N.m_Vm.m_Value);
+    Leader->m_Log->addVoter(N.m_Vm, N.m_Vm.m_Value,
+                            [](const Result<Done, MembershipError> &) {});
+  }
+
+  void remove(Node &N) {
+    Node *Leader = m_Sim.leader();
+    if (!Leader)
+      return;
+    Membership After = Leader->m_Log->core().membership();
+    std::erase_if(After.m_Voters,
+                  [&](const Member &M) { return M.m_Key.m_Vm == N.m_Vm; });
+    if (!m_Sim.keepsMajority(After, VmId()))
+      return;
+    m_Sim.trace("remove " + N.m_Vm.m_Value);
+    Leader->m_Log->removeVoter(N.m_Vm,
+                               [](const Result<Done, MembershipError> &) {});
+  }
+
+  void endFaults() {
+    m_Sim.trace("faults end");
+    m_Sim.healNetwork();
+    m_Sim.m_LossPercent = m_Sim.m_RepeatPercent = m_Sim.m_DelayPercent = 0;
+    m_Sim.m_CrashInOpenPercent = 0;
+    for (auto &[Vm, N] : m_Sim.nodes()) {
+      N.m_Disk->disarm();
+      repair(N);
+    }
+  }
+
+  /// A configuration is in force everywhere within 8 s, so the log has to
+  /// commit and every voter has to hold it within that time.
+  void checkRecovery() {
+    constexpr Duration Bound = std::chrono::seconds(8);
+    TimePoint End = m_Sim.now() + Bound;
+    std::size_t Before = m_Sim.oracle().acknowledgedCount();
+    while (m_Sim.oracle().acknowledgedCount() == Before && m_Sim.now() < End) {
+      if (Node *Leader = m_Sim.leader())
+        m_Sim.propose(*Leader);
+      m_Sim.run(std::chrono::milliseconds(50));
+    }
+    LogOracle::require(m_Sim.oracle().acknowledgedCount() > Before,
+                       "no commit within 8 s after the faults ended");
+    m_Sim.run(End - m_Sim.now());
+    Node *Leader = m_Sim.leader();
+    LogOracle::require(Leader != nullptr, "no leader after the faults ended");
+    for (const Member &Voter : Leader->m_Log->status().m_Voters) {
+      const Node &N = m_Sim.nodes().at(Voter.m_Key.m_Vm);
+      LogOracle::require(N.m_Store != Voter.m_Key.m_Store ||
+                             N.m_State == Leader->m_State,
+                         "a voter lacks committed entries after 8 s");
+    }
+  }
+
+  ConsensusSim m_Sim;
+};
+
+} // namespace ragwortdrift
+
+#endif
--- /dev/null
+++ b/src/ragwortdrift/testing/consensus_sim.hpp
@@ -0,0 +1,388 @@
+#ifndef RAGWORTDRIFT_TESTING_CONSENSUS_SIM_HPP
+#define RAGWORTDRIFT_TESTING_CONSENSUS_SIM_HPP
+
+#include "ragwortdrift/base/hash.hpp"
+#include "ragwortdrift/consensus/replicated_log.hpp"
+#include "ragwortdrift/testing/sim_disk.hpp"
+
+#include <iostream>
+#include <set>
+#include <sstream>
+#include <stdexcept>
+
+namespace ragwortdrift {
+
+/// A rule of the replicated log that does not hold.
+struct SimFailure : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+/// What all VMs together must agree on, told only by what each of them reports.
+class LogOracle {
+public:
+  struct Committed {
+    LogEntry m_Entry;
+    /// Term in which it was first seen to be committed.
+    LogTerm m_SeenTerm = 0;
+  };
+
+  static void require(bool Holds, const std::string &Rule) {
+    if (!Holds)
+      throw SimFailure(Rule);
+  }
+
+  void onLeader(const RaftCore &Core, const VmId &Vm) {
+    auto [It, New] = m_Leaders.try_emplace(Core.term(), Vm);
+    require(It->second == Vm, "two leaders in one term");
+    if (!New)
+      return;
+    const MemoryLog &Log = Core.log();
+    for (const auto &[Index, Entry] : m_Committed) {
+      if (Entry.m_SeenTerm >= Core.term() || Index < Log.baseIndex())
+        continue;
+      require(Log.termAt(Index) == Entry.m_Entry.m_Term,
+              "a leader lacks a committed entry");
+    }
+  }
+
+  void onCommit(const RaftCore &Core, LogIndex From) {
+    const MemoryLog &Log = Core.log();
+    for (LogIndex I = std::max(From, Log.baseIndex()) + 1;
+         I <= Core.commitIndex(); ++I) {
+      auto [It, New] =
+          m_Committed.try_emplace(I, Committed{Log.at(I), Core.term()});
+      require(It->second.m_Entry == Log.at(I), "a committed entry changed");
+    }
+  }
+
+  void onAcknowledged(LogIndex Index, const std::string &Payload) {
+    auto It = m_Committed.find(Index);
+    require(It == m_Committed.end() || It->second.m_Entry.m_Bytes == Payload,
+            "an acknowledged payload is not the committed one");
+    m_Acknowledged[Index] = Payload;
+  }
+
+  /// Applied is the number of payloads applied so far and the hash of their
+  /// sequence.
+  void onApplied(std::pair<std::uint64_t, std::uint64_t> Applied) {
+    auto [It, New] = m_Applied.insert(Applied);
+    require(It->second == Applied.second, "applied sequences differ");
+  }
+
+  void checkAcknowledged() const {
+    for (const auto &[Index, Payload] : m_Acknowledged) {
+      auto It = m_Committed.find(Index);
+      require(It != m_Committed.end() && It->second.m_Entry.m_Bytes == Payload,
+              "an acknowledged payload was lost");
+    }
+  }
+
+  LogIndex lastAcknowledged() const {
+    return m_Acknowledged.empty() ? 0 : m_Acknowledged.rbegin()->first;
+  }
+  std::size_t acknowledgedCount() const { return m_Acknowledged.size(); }
+
+private:
+  std::map<LogTerm, VmId> m_Leaders;
+  std::map<LogIndex, Committed> m_Committed;
+  std::map<LogIndex, std::string> m_Acknowledged;
+  std::map<std::uint64_t, std::uint64_t> m_Applied;
+};
+
+/// VMs with simulated disks and network in virtual time. Every action is drawn
+/// from one seed.
+class ConsensusSim {
+public:
+  using Log = BasicReplicatedLog<SimFiles>;
+
+  struct Node {
+    VmId m_Vm;
+    std::shared_ptr<SimDisk> m_Disk;
+    std::unique_ptr<TimerService> m_Timers;
+    std::unique_ptr<Log> m_Log;
+    /// Application state: payloads applied and the hash of their sequence.
+    std::pair<std::uint64_t, std::uint64_t> m_State;
+    LogIndex m_CheckedCommit = 0;
+    bool m_DiskLost = false;
+    /// Memberships this VM last believed in, kept while it is down.
+    std::vector<Membership> m_Believed;
+    StoreId m_Store;
+  };
+
+  ConsensusSim(std::uint64_t Seed, std::size_t Voters, std::size_t Spares)
+      : m_Engine(Seed) {
+    for (std::size_t I = 0; I < Voters + Spares; ++I) {
+      Node New;
+      New.m_Vm = VmId("vm" + std::to_string(I));
+      New.m_Disk = std::make_shared<SimDisk>(m_Engine());
+      if (I < Voters)
+        m_First.push_back({New.m_Vm, New.m_Vm.m_Value});
+      m_Nodes.emplace(New.m_Vm, std::move(New));
+    }
+    for (auto &[Vm, N] : m_Nodes)
+      start(N);
+  }
+
+  std::uint64_t draw(std::uint64_t Bound) { return m_Engine() % Bound; }
+  bool chance(unsigned Percent) { return draw(100) < Percent; }
+  TimePoint now() const { return m_Now; }
+  std::map<VmId, Node> &nodes() { return m_Nodes; }
+  Node &randomNode() {
+    return std::next(m_Nodes.begin(),
+                     static_cast<std::ptrdiff_t>(draw(m_Nodes.size())))
+        ->second;
+  }
+  LogOracle &oracle() { return m_Oracle; }
+  void trace(const std::string &Text) const {
+    if (m_Trace)
+      std::cerr << toMillis(m_Now.m_SinceStart) << " " << Text << "\n";
+  }
+
+  void start(Node &N) {
+    if (N.m_Log)
+      return;
+    N.m_Timers = std::make_unique<TimerService>();
+    N.m_Timers->advanceTo(m_Now);
+    N.m_State = {};
+    N.m_CheckedCommit = 0;
+    ReplicatedLogOptions Options;
+    Options.m_Self = N.m_Vm;
+    Options.m_FirstVoters =
+        isFirst(N.m_Vm) ? m_First : std::vector<FirstVoter>{};
+    Options.m_Seed = m_Engine();
+    Options.m_FreshStoreId = StoreId(m_Engine() | 1);
+    Options.m_SnapshotEntries = 20;
+    Options.m_TrailingEntries = 5;
+    Options.m_MaxMessageBytes = 2048;
+    Options.m_CatchUpTimeout = std::chrono::seconds(10);
+    N.m_Log = std::make_unique<Log>(Options, SimFiles(N.m_Disk), *N.m_Timers,
+                                    callbacks(N));
+    if (m_CrashInOpenPercent > 0 && chance(m_CrashInOpenPercent))
+      N.m_Disk->crashIn(1 + draw(8));
+    guarded(N, [&] {
+      auto Opened = N.m_Log->open();
+      LogOracle::require(isOk(Opened) ||
+                             errorOf(Opened).m_Code == StoreErrorCode::DiskFull,
+                         "a folder without damage was refused");
+      N.m_Store = N.m_Log->status().m_StoreId;
+      if (!isOk(Opened))
+        stop(N, /*PowerLost=*/false);
+    });
+  }
+
+  void stop(Node &N, bool PowerLost) {
+    if (!N.m_Log)
+      return;
+    trace(N.m_Vm.m_Value + (PowerLost ? " loses power" : " is killed"));
+    N.m_Log.reset();
+    N.m_Timers.reset();
+    N.m_Disk->disarm();
+    if (PowerLost)
+      N.m_Disk->powerLost();
+    else
+      N.m_Disk->processEnded();
+  }
+
+  /// Whether every membership some VM believes in keeps a majority of intact
+  /// disks without this VM's one. Losing more is not survivable by design.
+  bool canLoseDisk(const VmId &Lost) {
+    bool OtherFirst = false;
+    for (const auto &[Vm, N] : m_Nodes) {
+      OtherFirst |= Vm != Lost && isFirst(Vm) && !N.m_DiskLost;
+      // While the cluster forms, all first voters are needed.
+      if (isFirst(Vm) && !N.m_DiskLost &&
+          (N.m_Believed.empty() || N.m_Believed.front().m_Voters.empty()))
+        return false;
+      for (const Membership &M : N.m_Believed)
+        if (!keepsMajority(M, Lost))
+          return false;
+    }
+    return OtherFirst;
+  }
+
+  bool keepsMajority(const Membership &M, const VmId &Without) {
+    auto Intact = std::count_if(
+        M.m_Voters.begin(), M.m_Voters.end(), [&](const Member &Voter) {
+          return Voter.m_Key.m_Vm != Without &&
+                 m_Nodes.at(Voter.m_Key.m_Vm).m_Store == Voter.m_Key.m_Store;
+        });
+    return M.m_Voters.empty() ||
+           static_cast<std::size_t>(Intact) > M.m_Voters.size() / 2;
+  }
+
+  void loseDisk(Node &N) {
+    trace(N.m_Vm.m_Value + " loses its disk");
+    stop(N, /*PowerLost=*/false);
+    N.m_Disk = std::make_shared<SimDisk>(m_Engine());
+    N.m_DiskLost = true;
+    N.m_Believed = {Membership{}};
+    N.m_Store = StoreId();
+    start(N);
+  }
+
+  Node *leader() {
+    Node *Best = nullptr;
+    for (auto &[Vm, N] : m_Nodes)
+      if (N.m_Log && N.m_Log->status().m_Role == RaftRole::Leader &&
+          (!Best || N.m_Log->status().m_Term > Best->m_Log->status().m_Term))
+        Best = &N;
+    return Best;
+  }
+
+  void propose(Node &N) {
+    if (!N.m_Log)
+      return;
+    std::string Payload = "p" + std::to_string(++m_Proposals);
+    Payload.resize(Payload.size() + draw(chance(5) ? 3000 : 60), '.');
+    N.m_Log->propose(Payload,
+                     [this, Payload](const Result<LogIndex, ProposeError> &R) {
+                       if (isOk(R))
+                         m_Oracle.onAcknowledged(valueOf(R), Payload);
+                     });
+  }
+
+  void read(Node &N) {
+    if (!N.m_Log)
+      return;
+    N.m_Log->confirmLeadership([&N, Least = m_Oracle.lastAcknowledged()](
+                                   const Result<LogIndex, ProposeError> &R) {
+      LogOracle::require(!isOk(R) || N.m_Log->status().m_AppliedIndex >= Least,
+                         "a confirmed read misses an acknowledged entry");
+    });
+  }
+
+  /// Runs a call into a VM; a crash injected into it stops the VM.
+  template <class Fn> void guarded(Node &N, Fn Call) {
+    try {
+      Call();
+    } catch (const SimCrash &) {
+      stop(N, chance(50));
+    }
+    check(N);
+  }
+
+  void run(Duration For) {
+    TimePoint End = m_Now + For;
+    while (true) {
+      TimePoint Next = End;
+      for (auto &[Vm, N] : m_Nodes)
+        if (N.m_Log && N.m_Timers->nextDue())
+          Next = std::min(Next, *N.m_Timers->nextDue());
+      if (!m_Packets.empty())
+        Next = std::min(Next, m_Packets.begin()->first);
+      if (Next >= End)
+        break;
+      m_Now = std::max(m_Now, Next);
+      deliver();
+      for (auto &[Vm, N] : m_Nodes)
+        if (N.m_Log && N.m_Timers->nextDue() <= m_Now)
+          guarded(N, [&N = N, this] { N.m_Timers->advanceTo(m_Now); });
+    }
+    m_Now = End;
+  }
+
+  /// Cuts a VM off in both directions, or ends all cuts.
+  void cutOff(const VmId &Vm) {
+    for (const auto &[Other, N] : m_Nodes)
+      if (Other != Vm) {
+        m_Blocked.insert({Vm, Other});
+        m_Blocked.insert({Other, Vm});
+      }
+  }
+  void block(const VmId &From, const VmId &To) { m_Blocked.insert({From, To}); }
+  void healNetwork() { m_Blocked.clear(); }
+
+  unsigned m_LossPercent = 0;
+  unsigned m_RepeatPercent = 0;
+  unsigned m_DelayPercent = 0;
+  unsigned m_CrashInOpenPercent = 0;
+  bool m_Trace = false;
+
+private:
+  struct Packet {
+    VmId m_From, m_To;
+    std::string m_Bytes;
+  };
+
+  bool isFirst(const VmId &Vm) const {
+    return std::any_of(m_First.begin(), m_First.end(),
+                       [&](const FirstVoter &V) { return V.m_Vm == Vm; });
+  }
+
+  ReplicatedLogCallbacks callbacks(Node &N) {
+    ReplicatedLogCallbacks Out;
+    Out.m_Send = [this, From = N.m_Vm](const VmId &To, const std::string &,
+                                       const std::string &Bytes) {
+      send({From, To, Bytes});
+    };
+    Out.m_Apply = [this, &N](LogIndex Index, const std::string &Payload) {
+      N.m_State.second = stableHash(Payload, N.m_State.second ^ Index);
+      ++N.m_State.first;
+      m_Oracle.onApplied(N.m_State);
+    };
+    // The padding makes a snapshot take several messages.
+    Out.m_TakeSnapshot = [&N] {
+      return encode(std::pair(N.m_State, std::string(5000, 's')));
+    };
+    Out.m_Restore = [this, &N](const std::string &Bytes) {
+      N.m_State =
+          valueOf(decode<std::pair<std::pair<std::uint64_t, std::uint64_t>,
+                                   std::string>>(Bytes))
+              .first;
+      if (N.m_State.first > 0)
+        m_Oracle.onApplied(N.m_State);
+    };
+    return Out;
+  }
+
+  void send(Packet P) {
+    for (bool Again = true; Again; Again = chance(m_RepeatPercent)) {
+      if (chance(m_LossPercent))
+        continue;
+      Duration Delay(500 + draw(1500));
+      if (chance(m_DelayPercent))
+        Delay += Duration(draw(800'000));
+      m_Packets.emplace(m_Now + Delay, P);
+    }
+  }
+
+  void deliver() {
+    while (!m_Packets.empty() && m_Packets.begin()->first <= m_Now) {
+      Packet P = std::move(m_Packets.extract(m_Packets.begin()).mapped());
+      Node &To = m_Nodes.at(P.m_To);
+      if (!To.m_Log || m_Blocked.count({P.m_From, P.m_To}))
+        continue;
+      guarded(To, [&] {
+        To.m_Timers->advanceTo(m_Now);
+        To.m_Log->receive(P.m_From, P.m_Bytes);
+      });
+    }
+  }
+
+  void check(Node &N) {
+    if (!N.m_Log)
+      return;
+    const RaftCore &Core = N.m_Log->core();
+    LogIndex Committed = Core.commitIndex();
+    LogOracle::require(Committed >= N.m_CheckedCommit,
+                       "the commit index went back");
+    if (!N.m_Log->status().m_StoreError && Core.role() == RaftRole::Leader)
+      m_Oracle.onLeader(Core, N.m_Vm);
+    m_Oracle.onCommit(Core, N.m_CheckedCommit);
+    N.m_CheckedCommit = Committed;
+    N.m_Believed = {Core.membership(), Core.membershipAt(Committed)};
+  }
+
+  std::mt19937_64 m_Engine;
+  TimePoint m_Now;
+  std::vector<FirstVoter> m_First;
+  std::map<VmId, Node> m_Nodes;
+  std::multimap<TimePoint, Packet> m_Packets;
+  std::set<std::pair<VmId, VmId>> m_Blocked;
+  LogOracle m_Oracle;
+  std::uint64_t m_Proposals = 0;
+};
+
+} // namespace ragwortdrift
+
+#endif
--- /dev/null
+++ b/src/ragwortdrift/testing/sim_disk.hpp
@@ -0,0 +1,198 @@
+#ifndef RAGWORTDRIFT_TESTING_SIM_DISK_HPP
+#define RAGWORTDRIFT_TESTING_SIM_DISK_HPP
+
+#include "ragwortdrift/consensus/file_ops.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+
+namespace ragwortdrift {
+
+/// Thrown out of a file operation when the simulated machine dies in it.
+struct SimCrash {};
+
+/// A folder in memory that distinguishes what a process sees from what survives
+/// a power failure. It injects crashes, short writes, torn writes, a full disk
+/// and failing syncs.
+class SimDisk {
+public:
+  explicit SimDisk(std::uint64_t Seed) : m_Engine(Seed) {}
+
+  /// Crashes in the Nth operation from now that changes something.
+  void crashIn(std::size_t Operations) { m_CrashIn = Operations; }
+  void disarm() { m_CrashIn.reset(); }
+  void setFull(bool Full) { m_Full = Full; }
+  void setSyncFails(bool Fails) { m_SyncFails = Fails; }
+
+  /// The process ended; its written bytes stay visible.
+  void processEnded() { m_Locked = false; }
+
+  /// The power failed: unsynced names and bytes are lost in part.
+  void powerLost() {
+    m_Locked = false;
+    // Names are journaled in order, so a prefix of the changes survives.
+    std::size_t Kept = m_Engine() % (m_NameChanges.size() + 1);
+    for (std::size_t I = 0; I < Kept; ++I)
+      m_NameChanges[I](m_DurableNames);
+    m_NameChanges.clear();
+    m_Names = m_DurableNames;
+    for (auto &[Name, File] : m_Names) {
+      tear(*File);
+      File->m_Synced = File->m_Bytes;
+    }
+  }
+
+  std::map<std::string, std::string> contents() const {
+    std::map<std::string, std::string> Out;
+    for (const auto &[Name, File] : m_Names)
+      Out[Name] = File->m_Bytes;
+    return Out;
+  }
+  /// Writes behind the back of the store, as bit rot does.
+  std::string &bytes(const std::string &Name) {
+    return m_Names.at(Name)->m_Bytes;
+  }
+
+private:
+  friend class SimFiles;
+  struct File {
+    std::string m_Bytes;
+    std::string m_Synced;
+  };
+  using Names = std::map<std::string, std::shared_ptr<File>>;
+
+  /// Keeps a part of the bytes that were appended after the last sync; some of
+  /// them may hold garbage.
+  void tear(File &Torn) {
+    std::size_t Common = std::min(Torn.m_Bytes.size(), Torn.m_Synced.size());
+    if (Torn.m_Bytes.compare(0, Common, Torn.m_Synced, 0, Common) != 0 ||
+        Torn.m_Bytes.size() < Torn.m_Synced.size()) {
+      if (m_Engine() % 2)
+        Torn.m_Bytes = Torn.m_Synced;
+      return;
+    }
+    std::size_t Unsynced = Torn.m_Bytes.size() - Common;
+    Torn.m_Bytes.resize(Common + m_Engine() % (Unsynced + 1));
+    if (m_Engine() % 3 == 0)
+      for (std::size_t I = Common; I < Torn.m_Bytes.size(); ++I)
+        if (m_Engine() % 4 == 0)
+          Torn.m_Bytes[I] = static_cast<char>(m_Engine() % 2 ? 0 : m_Engine());
+  }
+
+  void countOperation() {
+    if (m_CrashIn && (*m_CrashIn)-- <= 1) {
+      m_CrashIn.reset();
+      throw SimCrash{};
+    }
+  }
+
+  void change(std::function<void(Names &)> Apply) {
+    Apply(m_Names);
+    m_NameChanges.push_back(std::move(Apply));
+  }
+
+  std::mt19937_64 m_Engine;
+  Names m_Names;
+  Names m_DurableNames;
+  std::vector<std::function<void(Names &)>> m_NameChanges;
+  std::optional<std::size_t> m_CrashIn;
+  bool m_Full = false;
+  bool m_SyncFails = false;
+  bool m_Locked = false;
+};
+
+/// FileOps on a SimDisk.
+class SimFiles {
+public:
+  explicit SimFiles(std::shared_ptr<SimDisk> Disk) : m_Disk(std::move(Disk)) {}
+
+  Result<Done, IoError> prepare() {
+    if (std::exchange(m_Disk->m_Locked, true))
+      return IoError{EWOULDBLOCK};
+    return Done{};
+  }
+  Result<std::vector<std::string>, IoError> list() {
+    std::vector<std::string> Out;
+    for (const auto &[Name, File] : m_Disk->m_Names)
+      Out.push_back(Name);
+    return Out;
+  }
+  Result<std::string, IoError> read(const std::string &Name) {
+    auto It = m_Disk->m_Names.find(Name);
+    if (It == m_Disk->m_Names.end())
+      return IoError{ENOENT};
+    return It->second->m_Bytes;
+  }
+  Result<Done, IoError> create(const std::string &Name) {
+    m_Disk->countOperation();
+    if (m_Disk->m_Full)
+      return IoError{ENOSPC};
+    auto New = std::make_shared<SimDisk::File>();
+    m_Disk->change([=](SimDisk::Names &Names) { Names[Name] = New; });
+    return Done{};
+  }
+  Result<std::size_t, IoError> append(const std::string &Name,
+                                      std::string_view Bytes) {
+    SimDisk::File &File = *m_Disk->m_Names.at(Name);
+    std::size_t Part = m_Disk->m_Engine() % (Bytes.size() + 1);
+    if (m_Disk->m_Full) {
+      File.m_Bytes += Bytes.substr(0, Part / 2);
+      return IoError{ENOSPC};
+    }
+    try {
+      m_Disk->countOperation();
+    } catch (const SimCrash &) {
+      File.m_Bytes += Bytes.substr(0, Part);
+      throw;
+    }
+    std::size_t Written = m_Disk->m_Engine() % 4 ? Bytes.size() : Part;
+    Written = std::max<std::size_t>(Written, 1);
+    File.m_Bytes += Bytes.substr(0, Written);
+    return Written;
+  }
+  Result<Done, IoError> sync(const std::string &Name) {
+    m_Disk->countOperation();
+    if (m_Disk->m_SyncFails)
+      return IoError{EIO};
+    SimDisk::File &File = *m_Disk->m_Names.at(Name);
+    File.m_Synced = File.m_Bytes;
+    return Done{};
+  }
+  Result<Done, IoError> truncate(const std::string &Name, std::uint64_t Size) {
+    m_Disk->countOperation();
+    m_Disk->m_Names.at(Name)->m_Bytes.resize(Size);
+    return Done{};
+  }
+  Result<Done, IoError> rename(const std::string &From, const std::string &To) {
+    m_Disk->countOperation();
+    m_Disk->change([=](SimDisk::Names &Names) {
+      Names[To] = Names.at(From);
+      Names.erase(From);
+    });
+    return Done{};
+  }
+  Result<Done, IoError> remove(const std::string &Name) {
+    m_Disk->countOperation();
+    m_Disk->change([=](SimDisk::Names &Names) { Names.erase(Name); });
+    return Done{};
+  }
+  Result<Done, IoError> syncFolder() {
+    m_Disk->countOperation();
+    if (m_Disk->m_SyncFails)
+      return IoError{EIO};
+    m_Disk->m_DurableNames = m_Disk->m_Names;
+    m_Disk->m_NameChanges.clear();
+    return Done{};
+  }
+
+private:
+  std::shared_ptr<SimDisk> m_Disk;
+};
+
+} // namespace ragwortdrift
+
+#endif
