--- a/include/ragwortdrift/consensus/bootstrap.hpp
+++ b/include/ragwortdrift/consensus/bootstrap.hpp
@@ -30,6 +30,8 @@
   /// The queries to send now. Called periodically until the result is known.
   std::vector<OutMessage> queries();
   void onAnswer(const Message &In, const StoreAnswer &Body);
+  /// Whether all voters answered the queries sent so far.
+  bool isPhaseComplete() const;
   /// The first membership, when all voters are bound.
   std::optional<Membership> result() const;
 
--- a/include/ragwortdrift/consensus/replicated_log_impl.hpp
+++ b/include/ragwortdrift/consensus/replicated_log_impl.hpp
@@ -310,7 +310,11 @@
     return;
   if (m_Bootstrap && !m_Core->hasLog()) {
     m_Bootstrap->onAnswer(In, Body);
-    return continueBootstrap();
+    // Queries are repeated only by the timer; one for each answer would
+    // multiply repeated messages without bound.
+    if (m_Bootstrap->isPhaseComplete())
+      continueBootstrap();
+    return;
   }
   if (!m_Change || m_Change->m_Phase != ChangePhase::Query ||
       m_Change->m_Nonce != Body.m_Nonce ||
--- a/src/ragwortdrift/consensus/bootstrap.cpp
+++ b/src/ragwortdrift/consensus/bootstrap.cpp
@@ -56,6 +56,10 @@
   (m_Binding ? m_Bound : m_Stores)[Vm] = In.m_From.m_Store;
 }
 
+bool Bootstrap::isPhaseComplete() const {
+  return (m_Binding ? m_Bound : m_Stores).size() == m_Voters.size();
+}
+
 std::optional<Membership> Bootstrap::result() const {
   if (m_Bound.size() != m_Voters.size())
     return std::nullopt;
