--- a/include/ragwortdrift/consensus/raft_core.hpp
+++ b/include/ragwortdrift/consensus/raft_core.hpp
@@ -104,6 +104,8 @@
   const Membership &membership() const { return m_Memberships.back().second; }
   /// The membership in force at an index that is not compacted away.
   const Membership &membershipAt(LogIndex Index) const;
+  /// The committed membership and the later ones, which may still be undone.
+  std::vector<Membership> possibleMemberships() const;
   bool hasLog() const { return m_Log.lastIndex() > 0; }
   bool changeInProgress() const;
 
--- a/src/ragwortdrift/consensus/raft_core.cpp
+++ b/src/ragwortdrift/consensus/raft_core.cpp
@@ -223,14 +223,21 @@
   return contains(membership().m_Voters, Key);
 }
 
-bool RaftCore::mayLead() const {
+std::vector<Membership> RaftCore::possibleMemberships() const {
+  std::vector<Membership> Out;
   for (auto It = m_Memberships.rbegin(); It != m_Memberships.rend(); ++It) {
-    if (contains(It->second.m_Voters, m_Self))
-      return true;
+    Out.push_back(It->second);
     if (It->first <= m_Commit)
       break;
   }
-  return false;
+  return Out;
+}
+
+bool RaftCore::mayLead() const {
+  std::vector<Membership> Possible = possibleMemberships();
+  return std::any_of(
+      Possible.begin(), Possible.end(),
+      [&](const Membership &M) { return contains(M.m_Voters, m_Self); });
 }
 
 bool RaftCore::isMember(const MemberKey &Key) const {
--- a/src/ragwortdrift/testing/consensus_sim.hpp
+++ b/src/ragwortdrift/testing/consensus_sim.hpp
@@ -100,6 +100,7 @@
     /// Application state: payloads applied and the hash of their sequence.
     std::pair<std::uint64_t, std::uint64_t> m_State;
     LogIndex m_CheckedCommit = 0;
+    bool m_Opened = false;
     bool m_DiskLost = false;
     /// Memberships this VM last believed in, kept while it is down.
     std::vector<Membership> m_Believed;
@@ -161,6 +162,7 @@
       LogOracle::require(isOk(Opened) ||
                              errorOf(Opened).m_Code == StoreErrorCode::DiskFull,
                          "a folder without damage was refused");
+      N.m_Opened = isOk(Opened);
       N.m_Store = N.m_Log->status().m_StoreId;
       if (!isOk(Opened))
         stop(N, /*PowerLost=*/false);
@@ -171,6 +173,8 @@
     if (!N.m_Log)
       return;
     trace(N.m_Vm.m_Value + (PowerLost ? " loses power" : " is killed"));
+    noteMemberships(N);
+    N.m_Opened = false;
     N.m_Log.reset();
     N.m_Timers.reset();
     N.m_Disk->disarm();
@@ -236,6 +240,13 @@
           << " commit " << Status.m_CommitIndex << " last "
           << Status.m_LastIndex << " cluster "
           << N.m_Log->core().cluster().m_Value % 1000;
+      const MemoryLog &Log = N.m_Log->core().log();
+      Out << " log";
+      for (LogIndex I = Log.baseIndex() + 1; I <= Log.lastIndex(); ++I) {
+        Out << " " << I << "t" << Log.at(I).m_Term;
+        if (Log.at(I).m_Kind == EntryKind::Membership)
+          List("members", valueOf(decode<Membership>(Log.at(I).m_Bytes)).m_Voters);
+      }
       List("voters", Status.m_Voters);
       List("learners", Status.m_Learners);
     }
@@ -385,6 +396,7 @@
   void check(Node &N) {
     if (!N.m_Log)
       return;
+    noteMemberships(N);
     const RaftCore &Core = N.m_Log->core();
     LogIndex Committed = Core.commitIndex();
     LogOracle::require(Committed >= N.m_CheckedCommit,
@@ -393,7 +405,13 @@
       m_Oracle.onLeader(Core, N.m_Vm);
     m_Oracle.onCommit(Core, N.m_CheckedCommit);
     N.m_CheckedCommit = Committed;
-    N.m_Believed = {Core.membership(), Core.membershipAt(Committed)};
+  }
+
+  /// Called also when a VM dies, since it may have sent what it believed in the
+  /// same event.
+  static void noteMemberships(Node &N) {
+    if (N.m_Log && N.m_Opened)
+      N.m_Believed = N.m_Log->core().possibleMemberships();
   }
 
   std::mt19937_64 m_Engine;
