--- a/src/ragwortdrift/consensus/consensus_fuzz_main.cpp
+++ b/src/ragwortdrift/consensus/consensus_fuzz_main.cpp
@@ -24,11 +24,15 @@
   std::atomic<std::uint64_t> Failed = 0;
   std::atomic<std::uint64_t> Acknowledged = 0;
   std::mutex Output;
+  std::map<std::string, std::uint64_t> Events;
   auto Work = [&] {
     for (std::uint64_t Seed = Next++; Seed <= Options.m_Last; Seed = Next++) {
       try {
-        Acknowledged +=
-            ConsensusFuzz(Seed, Options.m_Trace).run(Options.m_Faulty);
+        ConsensusFuzz Fuzz(Seed, Options.m_Trace);
+        Acknowledged += Fuzz.run(Options.m_Faulty);
+        std::scoped_lock Lock(Output);
+        for (const auto &[Name, Count] : Fuzz.events())
+          Events[Name] += Count;
       } catch (const SimFailure &Failure) {
         ++Failed;
         std::scoped_lock Lock(Output);
@@ -44,6 +48,8 @@
   std::cout << Options.m_Last - Options.m_First + 1 - Failed
             << " seeds passed, " << Failed << " failed, " << Acknowledged
             << " proposals acknowledged\n";
+  for (const auto &[Name, Count] : Events)
+    std::cout << Name << ": " << Count << "\n";
   return Failed;
 }
 
--- a/src/ragwortdrift/testing/consensus_fuzz.hpp
+++ b/src/ragwortdrift/testing/consensus_fuzz.hpp
@@ -27,6 +27,10 @@
     return m_Sim.oracle().acknowledgedCount();
   }
 
+  const std::map<std::string, std::uint64_t> &events() const {
+    return m_Sim.m_Events;
+  }
+
 private:
   using Node = ConsensusSim::Node;
 
@@ -108,7 +112,9 @@
       return;
     m_Sim.trace("add " + N.m_Vm.m_Value);
     Leader->m_Log->addVoter(N.m_Vm, N.m_Vm.m_Value,
-                            [](const Result<Done, MembershipError> &) {});
+                            [this](const Result<Done, MembershipError> &R) {
+                              m_Sim.m_Events["voter added"] += isOk(R);
+                            });
   }
 
   void remove(Node &N) {
@@ -122,7 +128,9 @@
       return;
     m_Sim.trace("remove " + N.m_Vm.m_Value);
     Leader->m_Log->removeVoter(N.m_Vm,
-                               [](const Result<Done, MembershipError> &) {});
+                               [this](const Result<Done, MembershipError> &R) {
+                                 m_Sim.m_Events["voter removed"] += isOk(R);
+                               });
   }
 
   void endFaults() {
--- a/src/ragwortdrift/testing/consensus_sim.hpp
+++ b/src/ragwortdrift/testing/consensus_sim.hpp
@@ -173,6 +173,8 @@
     if (!N.m_Log)
       return;
     trace(N.m_Vm.m_Value + (PowerLost ? " loses power" : " is killed"));
+    ++m_Events[PowerLost ? "power lost" : "process ended"];
+    m_Events["store failed"] += N.m_Log->status().m_StoreError.has_value();
     noteMemberships(N);
     N.m_Opened = false;
     N.m_Log.reset();
@@ -213,6 +215,7 @@
 
   void loseDisk(Node &N) {
     trace(N.m_Vm.m_Value + " loses its disk");
+    ++m_Events["disk lost"];
     stop(N, /*PowerLost=*/false);
     N.m_Disk = std::make_shared<SimDisk>(m_Engine());
     N.m_DiskLost = true;
@@ -278,8 +281,9 @@
   void read(Node &N) {
     if (!N.m_Log)
       return;
-    N.m_Log->confirmLeadership([&N, Least = m_Oracle.lastAcknowledged()](
+    N.m_Log->confirmLeadership([this, &N, Least = m_Oracle.lastAcknowledged()](
                                    const Result<LogIndex, ProposeError> &R) {
+      m_Events["read confirmed"] += isOk(R);
       LogOracle::require(!isOk(R) || N.m_Log->status().m_AppliedIndex >= Least,
                          "a confirmed read misses an acknowledged entry");
     });
@@ -290,6 +294,7 @@
     try {
       Call();
     } catch (const SimCrash &) {
+      ++m_Events["crash in a file operation"];
       stop(N, chance(50));
     }
     check(N);
@@ -331,6 +336,8 @@
   unsigned m_DelayPercent = 0;
   unsigned m_CrashInOpenPercent = 0;
   bool m_Trace = false;
+  /// How often faults and changes took place, to show what a run covered.
+  std::map<std::string, std::uint64_t> m_Events;
 
 private:
   struct Packet {
@@ -364,6 +371,7 @@
           valueOf(decode<std::pair<std::pair<std::uint64_t, std::uint64_t>,
                                    std::string>>(Bytes))
               .first;
+      ++m_Events[N.m_Opened ? "snapshot installed" : "snapshot restored"];
       if (N.m_State.first > 0)
         m_Oracle.onApplied(N.m_State);
     };
