--- a/include/ragwortdrift/config/document.hpp
+++ b/include/ragwortdrift/config/document.hpp
@@ -67,6 +67,12 @@
 /// The delta that turns From, at revision Base, into To.
 Delta diffDocuments(Revision Base, const Document &From, const Document &To);
 
+/// The same for the sections of two ranges, for documents of which only a part
+/// is compared.
+Delta diffRanges(Revision Base, Document::const_iterator From,
+                 Document::const_iterator FromEnd, Document::const_iterator To,
+                 Document::const_iterator ToEnd);
+
 /// Applies the sections of a delta. The caller has checked the revision.
 void applyDelta(Document &Target, const Delta &Change);
 
--- a/src/ragwortdrift/config/document.cpp
+++ b/src/ragwortdrift/config/document.cpp
@@ -2,27 +2,31 @@
 
 namespace ragwortdrift {
 
-Delta diffDocuments(Revision Base, const Document &From, const Document &To) {
+Delta diffRanges(Revision Base, Document::const_iterator From,
+                 Document::const_iterator FromEnd, Document::const_iterator To,
+                 Document::const_iterator ToEnd) {
   Delta Change{Base, {}, {}};
-  auto Old = From.begin();
-  auto New = To.begin();
-  while (Old != From.end() || New != To.end()) {
-    if (New == To.end() || (Old != From.end() && Old->first < New->first)) {
-      Change.m_Erase.push_back(Old->first);
-      ++Old;
-    } else if (Old == From.end() || New->first < Old->first) {
-      Change.m_Set.insert(*New);
-      ++New;
+  while (From != FromEnd || To != ToEnd) {
+    if (To == ToEnd || (From != FromEnd && From->first < To->first)) {
+      Change.m_Erase.push_back(From->first);
+      ++From;
+    } else if (From == FromEnd || To->first < From->first) {
+      Change.m_Set.insert(*To);
+      ++To;
     } else {
-      if (Old->second != New->second)
-        Change.m_Set.insert(*New);
-      ++Old;
-      ++New;
+      if (From->second != To->second)
+        Change.m_Set.insert(*To);
+      ++From;
+      ++To;
     }
   }
   return Change;
 }
 
+Delta diffDocuments(Revision Base, const Document &From, const Document &To) {
+  return diffRanges(Base, From.begin(), From.end(), To.begin(), To.end());
+}
+
 void applyDelta(Document &Target, const Delta &Change) {
   for (const SectionKey &Key : Change.m_Erase)
     Target.erase(Key);
--- a/src/ragwortdrift/state/replicated_state.cpp
+++ b/src/ragwortdrift/state/replicated_state.cpp
@@ -13,6 +13,9 @@
 
 constexpr std::uint32_t SnapshotFormat = 1;
 
+/// The first kind of section that a manifest cannot hold.
+constexpr SectionKind FirstOtherKind = SectionKind::Vm;
+
 /// Ids and keys come from outside; this bounds what each costs.
 bool hasIdLength(std::string_view Text) {
   return !Text.empty() && Text.size() <= 64;
@@ -67,7 +70,9 @@
 CommandResult ReplicatedState::applyOnce(const Order &Each) {
   if (!hasIdLength(Each.m_Id.m_Value))
     return Refused{RefusalCode::BadSubmitId};
-  const std::uint64_t ContentHash = stableHash(encode(Command(Each)));
+  // Submits of different kinds are never the same content.
+  const std::uint64_t ContentHash =
+      stableHash(encode(Each), Command(Order{}).index());
   if (const auto Found = m_SubmitIndex.find(Each.m_Id.m_Value);
       Found != m_SubmitIndex.end()) {
     if (Found->second->m_ContentHash != ContentHash)
@@ -90,18 +95,26 @@
     return Conflict{m_Revision};
   if (!isManifestDocument(Each.m_Manifest))
     return Refused{RefusalCode::BadManifest};
-  Document Next = Each.m_Manifest;
-  for (auto &[Key, Values] : Next) {
+  // The kinds that a manifest cannot hold follow those that it can. Comparing
+  // in place saves a copy of the document, which has 87 MB at the target size.
+  Delta Change = diffRanges(m_Revision, m_Doc.begin(),
+                            m_Doc.lower_bound({FirstOtherKind, ""}),
+                            Each.m_Manifest.begin(), Each.m_Manifest.end());
+  for (auto It = Change.m_Set.begin(); It != Change.m_Set.end();) {
+    auto &[Key, Values] = *It;
     // A customer that is named without settings keeps or regains those stored.
-    if (Key.m_Kind != SectionKind::Customer || !Values.empty())
+    const auto Stored = Key.m_Kind == SectionKind::Customer && Values.empty()
+                            ? findCustomer(CustomerId{Key.m_Name})
+                            : std::nullopt;
+    if (Stored && !Stored->m_RemovedAt) {
+      It = Change.m_Set.erase(It);
       continue;
-    if (const auto Stored = findCustomer(CustomerId{Key.m_Name}))
+    }
+    if (Stored)
       Values = Stored->m_Settings;
+    ++It;
   }
-  for (const auto &Entry : m_Doc)
-    if (!isManifestKind(Entry.first.m_Kind))
-      Next.insert(Entry);
-  return Accepted{commit(diffDocuments(m_Revision, m_Doc, Next))};
+  return Accepted{commit(std::move(Change))};
 }
 
 SubmitResult ReplicatedState::execute(const DomainOrder &Each) {
