--- a/src/ragwortdrift/tools/ctl/commands.cpp
+++ b/src/ragwortdrift/tools/ctl/commands.cpp
@@ -114,7 +114,8 @@
     std::vector<Endpoint> Behind = m_Given.m_Servers;
     while (true) {
       std::erase_if(Behind, [&](const Endpoint &Server) {
-        return revisionOf(Server, Deadline) >= m_Given.m_Revision;
+        const auto Found = revisionOf(Server, Deadline);
+        return Found && *Found >= m_Given.m_Revision;
       });
       if (Behind.empty())
         break;
@@ -170,18 +171,20 @@
     return std::nullopt;
   }
 
-  std::uint64_t revisionOf(const Endpoint &Server, Clock::time_point Deadline) {
+  /// The revision in force on a server; nothing when it does not answer.
+  std::optional<std::uint64_t> revisionOf(const Endpoint &Server,
+                                          Clock::time_point Deadline) {
     const HttpRequest Request(http::verb::get, "/admin/status", 11);
     // A VM that hangs must not keep the others from being asked.
     constexpr std::chrono::seconds Limit{1};
     const auto Found =
         exchange(Server, Request, std::min(Deadline, Clock::now() + Limit));
     if (!isOk(Found))
-      return 0;
+      return std::nullopt;
     const auto *Revision = valueOf(Found).m_Body.if_contains("revision");
-    return Revision && Revision->is_number()
-               ? Revision->to_number<std::uint64_t>()
-               : 0;
+    if (!Revision || !Revision->is_number())
+      return std::nullopt;
+    return Revision->to_number<std::uint64_t>();
   }
 
   /// Prints how a request ended. FindOut is the command that tells what became
