--- a/include/ragwortdrift/net/http_server.hpp
+++ b/include/ragwortdrift/net/http_server.hpp
@@ -17,7 +17,7 @@
 /// Limits on what one connection may cost.
 struct HttpLimits {
   std::uint32_t m_MaxHeaderBytes = 16 * 1024;
-  std::uint64_t m_MaxBodyBytes = 64 * 1024;
+  std::uint64_t m_MaxBodyBytes = 65'536;
   std::size_t m_MaxConnections = 10'000;
   /// Time for a whole header to arrive, which is also how long an idle
   /// connection is kept.
--- a/include/ragwortdrift/node/control_node.hpp
+++ b/include/ragwortdrift/node/control_node.hpp
@@ -4,6 +4,10 @@
 #include "ragwortdrift/base/asio_timer_driver.hpp"
 #include "ragwortdrift/config/settings.hpp"
 #include "ragwortdrift/consensus/replicated_log.hpp"
+#include "ragwortdrift/membership/config_follower.hpp"
+#include "ragwortdrift/membership/lease_holder.hpp"
+#include "ragwortdrift/membership/lease_table.hpp"
+#include "ragwortdrift/membership/membership_core.hpp"
 #include "ragwortdrift/net/http_server.hpp"
 #include "ragwortdrift/net/peer_client.hpp"
 #include "ragwortdrift/net/peer_server.hpp"
@@ -54,16 +58,36 @@
 private:
   struct AdminEndpoint;
 
+  // control_node.cpp
   void handlePeers();
-  void sendRaft(const std::string &Address, std::string Bytes);
+  void handleLease(const PeerRequest &Request,
+                   const std::shared_ptr<ResponseStream> &Out);
+  void handlePull(const PeerRequest &Request,
+                  const std::shared_ptr<ResponseStream> &Out);
+  /// Sends a message that needs no answer.
+  void sendOneWay(const Endpoint &To, const char *Path, std::string Bytes);
+  void sendRaft(const VmId &To, const std::string &Address, std::string Bytes);
+  std::optional<Endpoint> controlAddress(const VmId &Of) const;
   std::vector<Endpoint> commandAddresses() const;
+  void checkStopped();
+
+  // control_config.cpp
   void onApplied(LogIndex Index, const std::string &Payload);
   void onRestored(const std::string &Bytes);
-  void takeConfiguration(Revision Rev, Document Doc);
-  void pullConfiguration();
+  void takeFromState();
+  void takeConfiguration();
+  void confirmFresh();
+  void pull(const VmId &Parent, std::string Bytes);
   void registerSelf();
-  void updateOwnership();
+  std::vector<VmId> votersToPullFrom() const;
+  void updateMembers();
+  void sendLease(const VmId &Grantor, std::string Bytes);
+  void onLease(const std::string &Partition, LeaseState State);
+  void updateOwners();
+  void publishSoon();
   void publish();
+
+  // control_claims.cpp
   void claim(const QueryRequest &Request, Duration Timeout,
              std::function<void(ClaimOutcome)> Fn);
   void onClaimResult(const IdempotencyKey &Key, CommandOutcome Outcome,
@@ -84,23 +108,28 @@
   ReplicatedState m_State;
   std::unique_ptr<ReplicatedLog> m_Log;
   CommandRouter m_Commands;
+  ConfigSource m_Source;
+  ConfigFollower m_Follower;
+  MembershipCore m_Members;
+  LeaseTable m_Grants;
+  LeaseHolder m_Leases;
   std::unique_ptr<AdminEndpoint> m_Admin;
   HttpServer m_AdminServer;
   std::vector<TrafficThread *> m_Traffic;
 
-  Revision m_Revision;
-  Document m_Document;
   std::shared_ptr<const Catalog> m_Catalog;
-  TimePoint m_FreshUntil;
   std::map<std::string, VmId> m_Owners;
-  std::map<std::string, TimePoint> m_Leases;
   /// Keys of bookings that this VM is running or whose claim is in doubt.
   std::set<IdempotencyKey> m_OpenKeys;
   PeerCall m_Pull;
-  std::size_t m_NextSource = 0;
   bool m_Registering = false;
+  bool m_Confirming = false;
+  bool m_PublishPending = false;
   bool m_Stopping = false;
   std::size_t m_Undrained = 0;
+  TimerService::Subscription m_PublishTimer;
+  TimerService::Subscription m_StopTimer;
+  TimePoint m_StopBy;
   std::vector<TimerService::Subscription> m_Periodic;
 };
 
--- a/include/ragwortdrift/node/leaf_owner.hpp
+++ b/include/ragwortdrift/node/leaf_owner.hpp
@@ -49,6 +49,7 @@
   std::shared_ptr<Relay> start(const RelayRequest &Request, OnAnswer Fn);
   /// Requests at leafs and in queues.
   std::size_t inFlight() const;
+  std::size_t inFlight(const std::string &Partition) const;
 
 private:
   RelayStatus checkPartition(const RelayRequest &Request) const;
--- a/include/ragwortdrift/node/traffic_thread.hpp
+++ b/include/ragwortdrift/node/traffic_thread.hpp
@@ -39,6 +39,9 @@
   /// Thread-safe. Calls back on this thread when no caller's request and no
   /// leaf request is open any more; new ones are refused from RefuseAfter on.
   void beginStop(Duration RefuseAfter, std::function<void()> Drained);
+  /// Thread-safe. Calls back on this thread when no request for a leaf of the
+  /// partition is open here.
+  void whenIdle(const std::string &Partition, std::function<void()> Fn);
   /// Thread-safe. Ends the thread.
   void stop();
   /// Thread-safe. Calls back on this thread with its metrics.
@@ -61,11 +64,11 @@
   void serveCancel(const PeerRequest &Request);
   TrafficThread &threadOf(const std::string &Partition) const;
   void checkDrained();
+  void checkIdle();
   void respond(HttpExchange &Exchange, const QueryOutcome &Outcome);
   void updateMetrics();
 
   Settings m_Settings;
-  unsigned m_Index;
   boost::asio::io_context m_Io;
   TimerService m_Timers;
   AsioTimerDriver m_Driver;
@@ -85,6 +88,9 @@
   std::size_t m_OpenBookings = 0;
   bool m_Refusing = false;
   std::function<void()> m_Drained;
+  /// Partitions that are being handed over.
+  std::vector<std::pair<std::string, std::function<void()>>> m_WaitingIdle;
+  TimerService::Subscription m_IdleTimer;
   TimerService::Subscription m_StopTimer;
   TimerService::Subscription m_Second;
   std::thread m_Thread;
--- a/src/ragwortdrift/node/control_claims.cpp
+++ b/src/ragwortdrift/node/control_claims.cpp
@@ -15,6 +15,7 @@
 /// A claim in doubt blocks its key on this VM until it is released; after this
 /// many tries it is left to the log, where it reads as "may have run".
 constexpr unsigned ReleaseTries = 20;
+constexpr std::uint64_t MaxRefutations = 1000;
 
 Refusal refusalOf(const ClaimRefused &Why) {
   switch (Why.m_Code) {
@@ -120,6 +121,17 @@
   }
 }
 
+bool ControlNode::holderAlive(const VmId &Holder, Incarnation Of) const {
+  if (Holder == m_Settings.m_Vm)
+    return Of == m_Incarnation;
+  const MemberEntry *Known = m_Members.find(Holder);
+  // A running VM raises its incarnation by one to refute a suspicion; a restart
+  // raises it to the current time in milliseconds.
+  return Known && Known->m_Status != VmStatus::Dead &&
+         Known->m_Incarnation >= Of &&
+         Known->m_Incarnation.m_Value - Of.m_Value < MaxRefutations;
+}
+
 Refusal ControlNode::refusalOfPending(const ClaimPending &Pending) const {
   const bool Alive = holderAlive(Pending.m_Holder, Pending.m_Incarnation);
   if (Alive)
--- a/src/ragwortdrift/node/control_node.cpp
+++ b/src/ragwortdrift/node/control_node.cpp
@@ -5,36 +5,23 @@
 
 #include <boost/asio/post.hpp>
 
-#include <algorithm>
-
 namespace ragwortdrift {
 
 namespace asio = boost::asio;
 
 namespace {
 
-constexpr std::chrono::milliseconds PullInterval{100};
-constexpr std::chrono::milliseconds OwnershipInterval{200};
+constexpr std::chrono::milliseconds ConfirmInterval{300};
+constexpr std::chrono::milliseconds PublishInterval{200};
 constexpr std::chrono::seconds RegisterInterval{1};
-constexpr std::chrono::seconds CommandTimeout{5};
+constexpr std::chrono::milliseconds OneWayTimeout{500};
+constexpr std::chrono::seconds PullTimeout{3};
 /// New callers' requests are still taken for this long after a stop began, so
 /// that the balancer has seen /ready fail.
 constexpr std::chrono::seconds ReadyGrace{2};
-constexpr Duration StaleAfter{2'000'000};
-
-struct PullRequest {
-  Revision m_Have;
-  template <class Archive> void serialize(Archive &Ar) { Ar(m_Have); }
-};
-
-struct PullAnswer {
-  Revision m_Revision;
-  std::optional<Document> m_Document;
-  Duration m_Age{0};
-  template <class Archive> void serialize(Archive &Ar) {
-    Ar(m_Revision, m_Document, m_Age);
-  }
-};
+/// A stop that has not ended by then ends anyway; no deadline is longer.
+constexpr std::chrono::seconds StopLimit{65};
+constexpr std::chrono::milliseconds StopCheckInterval{10};
 
 HttpLimits adminLimits() {
   HttpLimits Limits;
@@ -44,32 +31,38 @@
   return Limits;
 }
 
-ReplicatedLogOptions logOptions(const Settings &Of) {
+ReplicatedLogOptions logOptions(const Settings &Of, Incarnation Started) {
   ReplicatedLogOptions Options;
   Options.m_Self = Of.m_Vm;
   for (const BootstrapVoter &Voter : Of.m_Bootstrap)
     Options.m_FirstVoters.push_back(
         {Voter.m_Id, formatEndpoint(Voter.m_Control)});
-  Options.m_Seed = static_cast<std::uint64_t>(wallClockNow().count()) ^
-                   stableHash(Of.m_Vm.m_Value);
+  Options.m_Seed = stableHash(Of.m_Vm.m_Value, Started.m_Value);
   return Options;
 }
 
-ControlError controlError(const CommandError &Why) {
-  switch (Why.m_Code) {
-  case CommandErrorCode::NoQuorum:
-  case CommandErrorCode::NotLeader:
-    return {ControlErrorCode::NoQuorum, "no leader with a quorum was found"};
-  case CommandErrorCode::TooLarge:
-    return {ControlErrorCode::TooLarge, ""};
-  case CommandErrorCode::BadMessage:
-    return {ControlErrorCode::Internal,
-            "the leader could not read the command"};
-  case CommandErrorCode::UnknownOutcome:
-    break;
-  }
-  return {ControlErrorCode::UnknownOutcome,
-          "the answer of the leader was lost"};
+std::mt19937_64 engineFor(const Settings &Of, Incarnation Started,
+                          std::uint64_t Purpose) {
+  return std::mt19937_64(stableHash(Of.m_Vm.m_Value, Started.m_Value) ^
+                         Purpose);
+}
+
+MemberEntry entryOf(const Settings &Of, Incarnation Started) {
+  MemberEntry Self;
+  Self.m_Vm = Of.m_Vm;
+  Self.m_Domain = Of.m_Domain;
+  Self.m_Incarnation = Started;
+  Self.m_Control = Of.m_Control;
+  Self.m_Relay = Of.m_Relay;
+  Self.m_Admin = Of.m_Admin;
+  return Self;
+}
+
+ConfigSourceOptions sourceOptions(const Settings &Of) {
+  ConfigSourceOptions Options;
+  if (Of.m_Folder)
+    Options.m_Hold = std::chrono::milliseconds(700);
+  return Options;
 }
 
 } // namespace
@@ -86,11 +79,11 @@
       m_Log(
           Of.m_Folder
               ? std::make_unique<ReplicatedLog>(
-                    logOptions(Of), PosixFiles(*Of.m_Folder), m_Timers,
+                    logOptions(Of, Started), PosixFiles(*Of.m_Folder), m_Timers,
                     ReplicatedLogCallbacks{
-                        [this](const VmId &, const std::string &Address,
+                        [this](const VmId &To, const std::string &Address,
                                std::string Bytes) {
-                          sendRaft(Address, std::move(Bytes));
+                          sendRaft(To, Address, std::move(Bytes));
                         },
                         [this](LogIndex Index, const std::string &Payload) {
                           onApplied(Index, Payload);
@@ -103,6 +96,29 @@
               : nullptr),
       m_Commands(m_Timers, m_PeerClient, m_Log.get(),
                  [this] { return commandAddresses(); }),
+      m_Source(m_Timers, sourceOptions(Of)),
+      m_Follower(
+          m_Timers, Of.m_Vm, Of.m_Domain, m_Source,
+          [this](const VmId &Parent, std::string Bytes) {
+            pull(Parent, std::move(Bytes));
+          },
+          [this](Revision, const Document &, const std::vector<Delta> &) {
+            takeConfiguration();
+          }),
+      m_Members(m_Timers, engineFor(Of, Started, 1), entryOf(Of, Started),
+                Of.m_Seeds,
+                [this](const Endpoint &To, std::string Bytes) {
+                  sendOneWay(To, "/gossip", std::move(Bytes));
+                }),
+      m_Grants(m_Timers, Of.m_Vm),
+      m_Leases(
+          m_Timers, engineFor(Of, Started, 2), Of.m_Vm, Of.m_Domain, Started,
+          [this](const VmId &Grantor, std::string Bytes) {
+            sendLease(Grantor, std::move(Bytes));
+          },
+          [this](const std::string &Partition, LeaseState State) {
+            onLease(Partition, State);
+          }),
       m_Admin(std::make_unique<AdminEndpoint>(*this)),
       m_AdminServer(m_Io, adminLimits(),
                     [this](const std::shared_ptr<HttpExchange> &Exchange) {
@@ -120,28 +136,6 @@
   m_Traffic = std::move(Threads);
 }
 
-std::vector<Endpoint> ControlNode::commandAddresses() const {
-  std::vector<Endpoint> All;
-  if (m_Catalog)
-    for (const auto &[Id, Each] : m_Catalog->m_Vms)
-      if (Each.m_HasDisk && Id != m_Settings.m_Vm)
-        All.push_back(Each.m_Control);
-  if (All.empty())
-    All = m_Settings.m_Seeds;
-  return All;
-}
-
-void ControlNode::sendRaft(const std::string &Address, std::string Bytes) {
-  const auto To = parseEndpoint(Address);
-  if (!To)
-    return;
-  auto Call = std::make_shared<PeerCall>();
-  *Call = m_PeerClient.open(
-      To->m_Ip, To->m_Port, "/raft", std::move(Bytes),
-      std::chrono::milliseconds(500), [](const std::string &) {},
-      [Call](const Result<Done, PeerError> &) mutable { Call.reset(); });
-}
-
 Result<Done, StartError> ControlNode::start() {
   m_Driver.start();
   handlePeers();
@@ -158,10 +152,21 @@
       m_AdminServer.listen(m_Settings.m_Admin.m_Ip, m_Settings.m_Admin.m_Port);
   if (!isOk(Admin))
     return StartError(errorOf(Admin));
+  m_Members.onChange([this](const MemberEntry &Changed) {
+    logEvent(LogSeverity::Info, "member.changed",
+             {{"vm", Changed.m_Vm},
+              {"status", Changed.m_Status},
+              {"incarnation", Changed.m_Incarnation}});
+    updateMembers();
+  });
+  m_Members.start();
+  updateMembers();
   m_Periodic.push_back(
-      m_Timers.every(PullInterval, [this] { pullConfiguration(); }));
-  m_Periodic.push_back(
-      m_Timers.every(OwnershipInterval, [this] { updateOwnership(); }));
+      m_Timers.every(ConfirmInterval, [this] { confirmFresh(); }));
+  m_Periodic.push_back(m_Timers.every(PublishInterval, [this] {
+    updateMembers();
+    publish();
+  }));
   m_Periodic.push_back(
       m_Timers.every(RegisterInterval, [this] { registerSelf(); }));
   return Done{};
@@ -176,259 +181,169 @@
 
 void ControlNode::beginStop() {
   asio::post(m_Io, [this] {
+    m_Driver.refresh();
     if (m_Stopping) {
       stopNow();
       return;
     }
     m_Stopping = true;
+    logEvent(LogSeverity::Info, "daemon.stopping", {{"vm", m_Settings.m_Vm}});
+    m_Members.leave();
+    m_Leases.drain();
     if (m_Log)
       m_Log->transferLeadership();
     publish();
+    m_StopBy = m_Timers.now() + StopLimit;
     m_Undrained = m_Traffic.size();
     for (TrafficThread *Each : m_Traffic)
-      Each->beginStop(ReadyGrace, [this] {
-        asio::post(m_Io, [this] {
-          if (--m_Undrained == 0)
-            stopNow();
-        });
-      });
+      Each->beginStop(ReadyGrace,
+                      [this] { asio::post(m_Io, [this] { --m_Undrained; }); });
+    m_StopTimer = m_Timers.every(StopCheckInterval, [this] { checkStopped(); });
   });
 }
 
+void ControlNode::checkStopped() {
+  const bool Drained =
+      m_Undrained == 0 && m_Leases.isDrained() && m_OpenKeys.empty();
+  if (Drained || m_Timers.now() >= m_StopBy)
+    stopNow();
+}
+
 void ControlNode::handlePeers() {
+  using Stream = std::shared_ptr<ResponseStream>;
   m_PeerServer.handle("/raft",
-                      [this](const PeerRequest &Request,
-                             const std::shared_ptr<ResponseStream> &Out) {
+                      [this](const PeerRequest &Request, const Stream &Out) {
                         m_Driver.refresh();
                         if (m_Log)
                           m_Log->receive(Request.m_From, Request.m_Body);
                         Out->finish();
                       });
-  m_PeerServer.handle("/command", [this](const PeerRequest &Request,
-                                         std::shared_ptr<ResponseStream> Out) {
-    m_Driver.refresh();
-    m_Commands.serve(Request, std::move(Out));
-  });
   m_PeerServer.handle(
-      "/config/pull", [this](const PeerRequest &Request,
-                             const std::shared_ptr<ResponseStream> &Out) {
+      "/gossip", [this](const PeerRequest &Request, const Stream &Out) {
         m_Driver.refresh();
-        const auto Asked = decode<PullRequest>(Request.m_Body);
-        if (!isOk(Asked))
-          return;
-        PullAnswer Answer;
-        Answer.m_Revision = m_Revision;
-        if (m_Revision > valueOf(Asked).m_Have)
-          Answer.m_Document = m_Document;
-        Answer.m_Age =
-            StaleAfter -
-            std::min(StaleAfter,
-                     std::max(Duration{0}, m_FreshUntil - m_Timers.now()));
-        Out->send(encode(Answer));
+        if (!isOk(m_Members.receive(Request.m_From, Request.m_Body)))
+          logEvent(LogSeverity::Warning, "gossip.bad_message",
+                   {{"from", Request.m_From}});
         Out->finish();
       });
+  m_PeerServer.handle("/command",
+                      [this](const PeerRequest &Request, Stream Out) {
+                        m_Driver.refresh();
+                        m_Commands.serve(Request, std::move(Out));
+                      });
+  m_PeerServer.handle("/lease",
+                      [this](const PeerRequest &Request, const Stream &Out) {
+                        m_Driver.refresh();
+                        handleLease(Request, Out);
+                      });
+  m_PeerServer.handle("/config/pull",
+                      [this](const PeerRequest &Request, const Stream &Out) {
+                        m_Driver.refresh();
+                        handlePull(Request, Out);
+                      });
 }
 
-void ControlNode::onApplied(LogIndex Index, const std::string &Payload) {
-  auto Entry = decode<Envelope>(Payload);
-  if (!isOk(Entry)) {
-    logEvent(LogSeverity::Error, "log.bad_entry", {{"index", Index}});
-    return;
-  }
-  m_Commands.onApplied(Index, m_State.apply(valueOf(Entry)));
-  if (m_State.revision() > m_Revision)
-    takeConfiguration(m_State.revision(), m_State.document());
-}
-
-void ControlNode::onRestored(const std::string &Bytes) {
-  const auto Restored = m_State.restore(Bytes);
-  if (!isOk(Restored)) {
-    logEvent(LogSeverity::Error, "log.bad_snapshot",
-             {{"code", errorOf(Restored).m_Code},
-              {"offset", errorOf(Restored).m_Offset}});
-    return;
-  }
-  if (m_State.revision() > m_Revision)
-    takeConfiguration(m_State.revision(), m_State.document());
+void ControlNode::handleLease(const PeerRequest &Request,
+                              const std::shared_ptr<ResponseStream> &Out) {
+  const auto Answer = m_Grants.receive(Request.m_From, Request.m_Body);
+  if (isOk(Answer) && valueOf(Answer))
+    Out->send(*valueOf(Answer));
+  Out->finish();
 }
 
-void ControlNode::takeConfiguration(Revision Rev, Document Doc) {
-  m_Catalog = m_Catalog
-                  ? updateCatalog(*m_Catalog, Doc,
-                                  diffDocuments(m_Revision, m_Document, Doc))
-                  : buildCatalog(Rev, Doc);
-  m_Revision = Rev;
-  m_Document = std::move(Doc);
-  if (m_Catalog->m_Revision != Rev)
-    m_Catalog = buildCatalog(Rev, m_Document);
-  logEvent(LogSeverity::Info, "config.in_force",
-           {{"revision", Rev}, {"services", m_Catalog->m_Services.size()}});
-  updateOwnership();
+void ControlNode::handlePull(const PeerRequest &Request,
+                             const std::shared_ptr<ResponseStream> &Out) {
+  const VmId From = Request.m_From;
+  Out->onCancel([this, From] { m_Source.cancel(From); });
+  const auto Taken = m_Source.pull(From, Request.m_Body,
+                                   [Out](std::string Message, bool Last) {
+                                     Out->send(std::move(Message));
+                                     if (Last)
+                                       Out->finish();
+                                   });
+  if (!isOk(Taken))
+    Out->finish();
 }
 
-void ControlNode::pullConfiguration() {
-  if (m_Log && m_Log->status().m_Leader) {
-    m_FreshUntil = m_Timers.now() + StaleAfter;
-    return;
-  }
-  const auto Sources = commandAddresses();
-  if (Sources.empty() || m_Pull.isOpen())
-    return;
-  const Endpoint From = Sources[m_NextSource % Sources.size()];
-  m_Pull = m_PeerClient.open(
-      From.m_Ip, From.m_Port, "/config/pull", encode(PullRequest{m_Revision}),
-      std::chrono::milliseconds(500),
-      [this](const std::string &Bytes) {
-        auto Answer = decode<PullAnswer>(Bytes);
-        if (!isOk(Answer))
-          return;
-        PullAnswer &Got = valueOf(Answer);
-        m_FreshUntil = m_Timers.now() + StaleAfter - Got.m_Age;
-        if (Got.m_Document && Got.m_Revision > m_Revision)
-          takeConfiguration(Got.m_Revision, std::move(*Got.m_Document));
-      },
-      [this](const Result<Done, PeerError> &Ended) {
-        if (!isOk(Ended))
-          ++m_NextSource;
-      });
+void ControlNode::sendOneWay(const Endpoint &To, const char *Path,
+                             std::string Bytes) {
+  auto Call = std::make_shared<PeerCall>();
+  *Call = m_PeerClient.open(
+      To.m_Ip, To.m_Port, Path, std::move(Bytes), OneWayTimeout,
+      [](const std::string &) {},
+      [Call](const Result<Done, PeerError> &) mutable { Call.reset(); });
 }
 
-bool ControlNode::holderAlive(const VmId &Holder, Incarnation Of) const {
-  return Holder == m_Settings.m_Vm && Of == m_Incarnation;
+void ControlNode::sendRaft(const VmId &To, const std::string &Address,
+                           std::string Bytes) {
+  auto Target = parseEndpoint(Address);
+  if (!Target)
+    Target = controlAddress(To);
+  if (Target)
+    sendOneWay(*Target, "/raft", std::move(Bytes));
 }
 
-void ControlNode::registerSelf() {
-  if (m_Registering || m_Stopping)
-    return;
-  const Vm Self{m_Settings.m_Vm,      m_Settings.m_Domain,
-                m_Settings.m_Control, m_Settings.m_Relay,
-                m_Settings.m_Admin,   m_Settings.m_Folder.has_value()};
+std::optional<Endpoint> ControlNode::controlAddress(const VmId &Of) const {
+  if (const MemberEntry *Known = m_Members.find(Of))
+    return Known->m_Control;
   if (m_Catalog) {
-    const auto Known = m_Catalog->m_Vms.find(Self.m_Id);
-    if (Known != m_Catalog->m_Vms.end() &&
-        Known->second.m_Domain == Self.m_Domain &&
-        Known->second.m_Control == Self.m_Control &&
-        Known->second.m_Relay == Self.m_Relay &&
-        Known->second.m_Admin == Self.m_Admin &&
-        Known->second.m_HasDisk == Self.m_HasDisk)
-      return;
+    const auto Listed = m_Catalog->m_Vms.find(Of);
+    if (Listed != m_Catalog->m_Vms.end())
+      return Listed->second.m_Control;
   }
-  m_Registering = true;
-  m_Commands.submit(RegisterVm{Self}, CommandTimeout,
-                    [this](const CommandOutcome &) { m_Registering = false; });
-}
-
-void ControlNode::updateOwnership() {
-  if (!m_Catalog)
-    return;
-  m_Owners.clear();
-  m_Leases.clear();
-  for (const auto &[Name, Of] : m_Catalog->m_Services)
-    for (const Partition &Each : Of->m_Partitions) {
-      std::vector<VmId> Candidates;
-      for (const auto &[Id, Info] : m_Catalog->m_Vms)
-        if (Info.m_Domain == Each.m_Domain)
-          Candidates.push_back(Id);
-      if (Candidates.empty())
-        continue;
-      const VmId Owner = rendezvousOrder(Each.m_Key, Candidates).front();
-      m_Owners[Each.m_Key] = Owner;
-      if (Owner == m_Settings.m_Vm)
-        m_Leases[Each.m_Key] = m_Timers.now() + std::chrono::seconds(1);
-    }
-  publish();
+  return std::nullopt;
 }
 
-void ControlNode::publish() {
-  auto View = std::make_shared<ControlView>();
-  View->m_Catalog = m_Catalog;
-  View->m_Owners = m_Owners;
-  View->m_Leases = m_Leases;
-  View->m_FreshUntil = m_FreshUntil;
-  View->m_Stopping = m_Stopping;
-  const std::shared_ptr<const ControlView> Published = std::move(View);
-  for (TrafficThread *Each : m_Traffic)
-    Each->post(Published);
+std::vector<Endpoint> ControlNode::commandAddresses() const {
+  std::vector<Endpoint> All;
+  if (m_Catalog)
+    for (const auto &[Id, Each] : m_Catalog->m_Vms)
+      if (Each.m_HasDisk && Id != m_Settings.m_Vm)
+        All.push_back(Each.m_Control);
+  return All.empty() ? m_Settings.m_Seeds : All;
 }
 
-void ControlNode::submit(Command Of, ControlCallback<CommandResult> Fn) {
-  if (m_Stopping) {
-    Fn(ControlError{ControlErrorCode::Stopping, ""});
+void ControlNode::pull(const VmId &Parent, std::string Bytes) {
+  const auto To = controlAddress(Parent);
+  if (!To) {
+    asio::post(m_Io, [this, Parent] { m_Follower.pullFailed(Parent); });
     return;
   }
-  m_Commands.submit(std::move(Of), CommandTimeout,
-                    [Fn = std::move(Fn)](CommandOutcome Outcome) {
-                      if (isOk(Outcome))
-                        Fn(valueOf(std::move(Outcome)));
-                      else
-                        Fn(controlError(errorOf(Outcome)));
-                    });
-}
-
-void ControlNode::changeVoter(const VoterChange &, ControlCallback<Done> Fn) {
-  Fn(ControlError{ControlErrorCode::NoStorage, ""});
-}
-
-void ControlNode::status(ControlCallback<ControlStatus> Fn) {
-  ControlStatus Out;
-  Out.m_Vm = m_Settings.m_Vm;
-  Out.m_Domain = m_Settings.m_Domain;
-  Out.m_Incarnation = m_Incarnation;
-  Out.m_Revision = m_Revision;
-  Out.m_Stale = m_FreshUntil <= m_Timers.now();
-  if (m_Log) {
-    const ReplicatedLogStatus Log = m_Log->status();
-    if (Log.m_Leader)
-      Out.m_Leader = Log.m_Leader->m_Vm;
-    Out.m_Term = Log.m_Term;
-    Out.m_CommitIndex = Log.m_CommitIndex;
-  }
-  for (const auto &[Key, Until] : m_Leases)
-    Out.m_PartitionsOwned.push_back(Key);
-  Fn(std::move(Out));
-}
-
-void ControlNode::manifest(ControlCallback<ManifestText> Fn) {
-  Fn(ManifestText{m_Revision, formatManifest(m_Document)});
+  m_Pull = m_PeerClient.open(
+      To->m_Ip, To->m_Port, "/config/pull", std::move(Bytes), PullTimeout,
+      [this, Parent](const std::string &Message) {
+        m_Driver.refresh();
+        if (!isOk(m_Follower.receive(Parent, Message)))
+          logEvent(LogSeverity::Warning, "config.bad_answer",
+                   {{"from", Parent}});
+      },
+      [this, Parent](const Result<Done, PeerError> &Ended) {
+        m_Driver.refresh();
+        if (!isOk(Ended))
+          m_Follower.pullFailed(Parent);
+      });
 }
 
-void ControlNode::customer(const CustomerId &Name,
-                           ControlCallback<std::optional<CustomerRecord>> Fn) {
-  if (!m_Log) {
-    Fn(ControlError{ControlErrorCode::NoStorage,
-                    "ask a VM that has a data folder"});
+void ControlNode::sendLease(const VmId &Grantor, std::string Bytes) {
+  if (Grantor == m_Settings.m_Vm) {
+    asio::post(m_Io, [this, Bytes = std::move(Bytes)] {
+      const auto Answer = m_Grants.receive(m_Settings.m_Vm, Bytes);
+      if (isOk(Answer) && valueOf(Answer))
+        (void)m_Leases.receive(m_Settings.m_Vm, *valueOf(Answer));
+    });
     return;
   }
-  Fn(m_State.findCustomer(Name));
-}
-
-void ControlNode::takeSnapshot(ControlCallback<SnapshotReport> Fn) {
-  Fn(ControlError{ControlErrorCode::NoStorage, ""});
-}
-
-void ControlNode::readiness(std::function<void(Readiness)> Fn) {
-  if (m_Stopping)
-    Fn(Readiness::Stopping);
-  else
-    Fn(m_Revision == Revision{0} ? Readiness::NoConfiguration
-                                 : Readiness::Ready);
-}
-
-void ControlNode::metrics(std::function<void(std::string)> Fn) {
-  struct Gathered {
-    MetricsSnapshot m_Merged;
-    std::size_t m_Missing = 0;
-  };
-  auto All = std::make_shared<Gathered>();
-  All->m_Missing = m_Traffic.size();
-  for (TrafficThread *Each : m_Traffic)
-    Each->collect([this, All, Fn](MetricsSnapshot Part) {
-      asio::post(m_Io, [All, Fn, Part = std::move(Part)] {
-        mergeMetrics(All->m_Merged, Part);
-        if (--All->m_Missing == 0)
-          Fn(formatPrometheus(All->m_Merged));
-      });
-    });
+  const auto To = controlAddress(Grantor);
+  if (!To)
+    return;
+  auto Call = std::make_shared<PeerCall>();
+  *Call = m_PeerClient.open(
+      To->m_Ip, To->m_Port, "/lease", std::move(Bytes), OneWayTimeout,
+      [this, Grantor](const std::string &Message) {
+        m_Driver.refresh();
+        (void)m_Leases.receive(Grantor, Message);
+      },
+      [Call](const Result<Done, PeerError> &) mutable { Call.reset(); });
 }
 
 } // namespace ragwortdrift
--- a/src/ragwortdrift/node/leaf_owner.cpp
+++ b/src/ragwortdrift/node/leaf_owner.cpp
@@ -183,6 +183,14 @@
   return Handle;
 }
 
+std::size_t LeafOwner::inFlight(const std::string &Partition) const {
+  std::size_t Sum = 0;
+  for (const auto &[Id, Owned] : m_Leafs)
+    if (Owned->partition() == Partition)
+      Sum += Owned->inFlight();
+  return Sum;
+}
+
 std::size_t LeafOwner::inFlight() const {
   std::size_t Sum = 0;
   for (const auto &[Id, Owned] : m_Leafs)
--- a/src/ragwortdrift/node/owned_leaf.cpp
+++ b/src/ragwortdrift/node/owned_leaf.cpp
@@ -40,8 +40,8 @@
 OwnedLeaf::OwnedLeaf(boost::asio::io_context &Io, TimerService &Timers,
                      const LeafChart &Chart, const Service &Of,
                      const Leaf &Info, std::shared_ptr<OwnedService> Shared)
-    : m_Timers(Timers), m_Id(Info.m_Id), m_Service(std::move(Shared)),
-      m_Gate(Of, Chart, Timers.now()),
+    : m_Timers(Timers), m_Partition(Of.m_Partitions[Info.m_Partition].m_Key),
+      m_Service(std::move(Shared)), m_Gate(Of, Chart, Timers.now()),
       m_Connections(std::make_shared<LeafConnections>(
           Io, Timers, Info.m_Address, Of.m_Connections)) {
   keepWarm();
--- a/src/ragwortdrift/node/owned_leaf.hpp
+++ b/src/ragwortdrift/node/owned_leaf.hpp
@@ -63,6 +63,7 @@
   /// Opens connections ahead of requests.
   void keepWarm();
   std::size_t inFlight() const { return m_Work.size(); }
+  const std::string &partition() const { return m_Partition; }
 
 private:
   void send(GateTicket Ticket);
@@ -74,7 +75,7 @@
   void reply(GateTicket Ticket);
 
   TimerService &m_Timers;
-  LeafId m_Id;
+  std::string m_Partition;
   std::shared_ptr<OwnedService> m_Service;
   LeafGate m_Gate;
   LeafConnectionHealth m_Health;
--- a/src/ragwortdrift/node/traffic_thread.cpp
+++ b/src/ragwortdrift/node/traffic_thread.cpp
@@ -42,7 +42,7 @@
 
 TrafficThread::TrafficThread(const Settings &Of, unsigned Index,
                              const LeafChart &Chart, BookingClaims Claims)
-    : m_Settings(Of), m_Index(Index), m_Io(1), m_Driver(m_Io, m_Timers),
+    : m_Settings(Of), m_Io(1), m_Driver(m_Io, m_Timers),
       m_Owner(m_Io, m_Timers, Chart, Of.m_Domain),
       m_Engine(m_Timers, Of.m_Domain, seedOf(Of, Index),
                {[this](const VmId &Owner, RelayRequest Request,
@@ -370,6 +370,27 @@
   });
 }
 
+void TrafficThread::whenIdle(const std::string &Partition,
+                             std::function<void()> Fn) {
+  asio::post(m_Io, [this, Partition, Fn = std::move(Fn)]() mutable {
+    m_Driver.refresh();
+    m_WaitingIdle.emplace_back(Partition, std::move(Fn));
+    if (!m_IdleTimer)
+      m_IdleTimer = m_Timers.every(DrainCheckInterval, [this] { checkIdle(); });
+  });
+}
+
+void TrafficThread::checkIdle() {
+  std::erase_if(m_WaitingIdle, [this](const auto &Waiting) {
+    if (m_Owner.inFlight(Waiting.first) > 0)
+      return false;
+    Waiting.second();
+    return true;
+  });
+  if (m_WaitingIdle.empty())
+    m_IdleTimer.reset();
+}
+
 void TrafficThread::checkDrained() {
   if (m_Engine.inFlight() > 0 || m_Owner.inFlight() > 0 || m_OpenBookings > 0 ||
       m_Callers.connections() > 0 || !m_Served.empty())
