--- a/include/ragwortdrift/membership/membership_core.hpp
+++ b/include/ragwortdrift/membership/membership_core.hpp
@@ -136,6 +136,8 @@
 
   /// The VMs of a domain with status alive, in order of their ids.
   std::vector<VmId> aliveVms(const FailureDomain &Domain) const;
+  /// The same for all domains.
+  std::vector<VmId> aliveVms() const;
   std::optional<VmStatus> statusOf(const VmId &Vm) const;
   const MemberEntry *find(const VmId &Vm) const;
   /// This VM's entry. Its incarnation rises above the one of the start when the
--- a/src/ragwortdrift/membership/membership_core.cpp
+++ b/src/ragwortdrift/membership/membership_core.cpp
@@ -54,6 +54,14 @@
   return Alive;
 }
 
+std::vector<VmId> MembershipCore::aliveVms() const {
+  std::vector<VmId> Alive;
+  for (const auto &[Vm, Each] : m_Members)
+    if (Each.m_Entry.m_Status == VmStatus::Alive)
+      Alive.push_back(Vm);
+  return Alive;
+}
+
 std::optional<VmStatus> MembershipCore::statusOf(const VmId &Vm) const {
   const MemberEntry *Entry = find(Vm);
   return Entry ? std::optional(Entry->m_Status) : std::nullopt;
--- a/src/ragwortdrift/node/control_config.cpp
+++ b/src/ragwortdrift/node/control_config.cpp
@@ -123,6 +123,11 @@
     for (const auto &[Id, Each] : m_Catalog->m_Vms)
       if (Each.m_HasDisk)
         Voters.push_back(Id);
+  if (!Voters.empty())
+    return Voters;
+  // Before the first configuration any member may know one.
+  Voters = m_Members.aliveVms();
+  std::erase(Voters, m_Settings.m_Vm);
   return Voters;
 }
 
