--- a/src/ragwortdrift/tools/load/load_plan.cpp
+++ b/src/ragwortdrift/tools/load/load_plan.cpp
@@ -61,6 +61,9 @@
     }
     if (Entry.m_Booking && Service->second.m_Fanout)
       return badMix(Item, "a booking needs a service of kind single");
+    for (const MixEntry &Other : Mix)
+      if (Other.m_Service == Entry.m_Service)
+        return badMix(Item, "the service is named twice");
     Mix.push_back(Entry);
   }
   return Mix;
--- a/src/ragwortdrift/tools/load/load_test.cpp
+++ b/src/ragwortdrift/tools/load/load_test.cpp
@@ -85,6 +85,7 @@
     {"desk=x", {}},
     {"desk=1:other", {}},
     {"nowhere=1", {}},
+    {"desk=1,desk=2", {}},
 };
 
 struct QuantileRow {
--- a/src/ragwortdrift/tools/load_main.cpp
+++ b/src/ragwortdrift/tools/load_main.cpp
@@ -181,10 +181,15 @@
   return Sum;
 }
 
-std::uint64_t countArrived(const boost::json::array &Leafs) {
+/// Requests that arrived at leafs of the services in the mix. Others may serve
+/// further callers at the same time.
+std::uint64_t countArrived(const LoadPlan &Plan,
+                           const boost::json::array &Leafs) {
   std::uint64_t Sum = 0;
   for (const auto &Leaf : Leafs)
-    Sum += Leaf.at("arrived").to_number<std::uint64_t>();
+    for (const MixEntry &Entry : Plan.m_Mix)
+      if (Leaf.at("service").as_string() == Entry.m_Service->m_Name)
+        Sum += Leaf.at("arrived").to_number<std::uint64_t>();
   return Sum;
 }
 
@@ -206,7 +211,7 @@
     Records =
         checkRecords(Stats.m_Ledger, valueOf(After), Plan.m_IdPrefix + "-");
   const std::uint64_t LeafRequests =
-      countArrived(valueOf(After)) - countArrived(valueOf(Before));
+      countArrived(Plan, valueOf(After)) - countArrived(Plan, valueOf(Before));
   auto Report = toJson(Stats, Records, LeafRequests, Plan.m_Seconds);
   Report["records_checked"] = !Plan.m_LeafControls.empty();
   if (Plan.m_ReportHistogram) {
