--- a/src/ragwortdrift/consensus/raft_core.cpp
+++ b/src/ragwortdrift/consensus/raft_core.cpp
@@ -44,7 +44,7 @@
   if (m_Elapsed < m_Timeout)
     return;
   m_Leader.reset();
-  if (isVoter(m_Self))
+  if (mayLead())
     campaign(/*PreVote=*/true, /*Transfer=*/false);
   else
     resetElectionTimer();
@@ -223,6 +223,23 @@
   return contains(membership().m_Voters, Key);
 }
 
+std::vector<Membership> RaftCore::possibleMemberships() const {
+  std::vector<Membership> Out;
+  for (auto It = m_Memberships.rbegin(); It != m_Memberships.rend(); ++It) {
+    Out.push_back(It->second);
+    if (It->first <= m_Commit)
+      break;
+  }
+  return Out;
+}
+
+bool RaftCore::mayLead() const {
+  std::vector<Membership> Possible = possibleMemberships();
+  return std::any_of(
+      Possible.begin(), Possible.end(),
+      [&](const Membership &M) { return contains(M.m_Voters, m_Self); });
+}
+
 bool RaftCore::isMember(const MemberKey &Key) const {
   return isVoter(Key) || contains(membership().m_Learners, Key);
 }
