--- a/scripts/lab/report.py
+++ b/scripts/lab/report.py
@@ -38,7 +38,7 @@
     """The HTML parts of one experiment."""
     name = result["experiment"]
     parts = [f"<h2>{html.escape(name)}</h2>",
-             f"<p>seed {result['seed']}, site {html.escape(result['site'])}</p>", table(result)]
+             f"<p>seed {result['seed']}, site {html.escape(result['site'])}</p>", bounds_list(result), table(result)]
     for plot in (plot_latency(folder, result), plot_progress(folder, result)):
         if plot:
             parts.append(f"<img src='{plot}' alt='{html.escape(name)}'>")
@@ -51,6 +51,15 @@
     return parts
 
 
+def bounds_list(result):
+    """The bounds of the design and whether they were kept."""
+    items = "".join(
+        f"<li{'' if kept else ' class=wrong'}>{html.escape(bound)}: {'kept' if kept else 'missed'}</li>"
+        for bound, kept in result["bounds"].items()
+    )
+    return f"<ul>{items}</ul>"
+
+
 def form(value):
     if value is None:
         return "-"
