--- a/scripts/lab/deployment.py
+++ b/scripts/lab/deployment.py
@@ -76,7 +76,6 @@
         self.leaf_processes = {}
         self.vms = []
         self.last_order = None
-        self.orders = 0
         for index, domain in enumerate(site.domains):
             for replica in range(vms_per_domain):
                 name = f"{domain}-{replica + 1}"
@@ -159,14 +158,9 @@
         for vm in self.vms:
             if not vm.process.running():
                 raise DeploymentFailed(f"{vm.name} ended: {self.tail(vm.process)}")
-        return self.submit(self.manifest.read_text(), "first")
-
-    def submit(self, text, submit_id, base_revision=None, vm=None):
-        """Submits a manifest; True when it is accepted. The answer is kept in last_order."""
-        headers = {"Rd-Submit-Id": submit_id}
-        if base_revision is not None:
-            headers["Rd-Base-Revision"] = str(base_revision)
-        return self.order("/admin/submit", text, headers, vm)
+        code, text = self.ctl("submit", "--manifest", self.manifest, "--submit-id", "first")
+        self.last_order = (code, text)
+        return code == 0
 
     def order(self, path, body, headers, vm=None, timeout_s=10):
         """Sends an order to a VM's admin port; True when it is accepted."""
@@ -178,11 +172,11 @@
         self.last_order = (status, answer)
         return status == 200
 
-    def domain_order(self, domain, state, vm=None):
+    def domain_order(self, domain, state):
         """Takes a failure domain `out`, or back `in`; True when the order is accepted."""
-        self.orders += 1
-        headers = {"Rd-Submit-Id": f"domain-{self.orders}"}
-        return self.order("/admin/domain", json.dumps({"domain": domain, "state": state}), headers, vm)
+        code, text = self.ctl("domain", state, domain)
+        self.last_order = (code, text)
+        return code == 0
 
     def unexpected_exits(self):
         """Daemons that ended by themselves, with the last lines of their logs."""
@@ -200,10 +194,10 @@
             if not wait_until(lambda v=vm: self.ready(v), timeout_s):
                 raise DeploymentFailed(f"{vm.name} is not ready: {self.tail(vm.process)}")
 
-    def ctl(self, *arguments, vm=None, timeout_s=10):
-        """Runs ragwortdriftctl against a VM; returns the exit code and the output."""
-        target = vm or self.vms[0]
-        command = [BUILD / "ragwortdriftctl", *arguments, "--admin", target.admin]
+    def ctl(self, *arguments, timeout_s=15):
+        """Runs ragwortdriftctl, which tries the VMs in turn; returns the exit code and the output."""
+        servers = ",".join(vm.admin for vm in self.vms)
+        command = [BUILD / "ragwortdriftctl", *arguments, "--server", servers]
         try:
             done = subprocess.run(
                 [str(part) for part in command], capture_output=True, text=True, timeout=timeout_s, check=False
