--- a/scripts/lab/config_observer.py
+++ b/scripts/lab/config_observer.py
@@ -22,7 +22,6 @@
         self.acknowledged = {}
         self.highest = 0
         self.reverted = 0
-        self.stale_after_restart = 0
         self.delays = []
         self.since = {vm.name: 0.0 for vm in deployment.vms}
         self.seen = {vm.name: 0 for vm in deployment.vms}
--- a/scripts/lab/query_experiments.py
+++ b/scripts/lab/query_experiments.py
@@ -36,7 +36,8 @@
             records = next(each for each in deployment.leaf_records() if each["leaf"] == leaf)
             recovered = None if records["cold"] else (records["cold_age_ms"] - records["warm_age_ms"]) / 1000
             return {"max_load": records["max_load_over_allowance"], "recovered_s": recovered,
-                    "not_recovered": int(records["cold"]), "collapsed": records["collapsed"], "served": records["ended"]}
+                    "not_recovered": int(records["cold"]), "collapsed": records["collapsed"],
+                    "served": records["ended"]}
 
         slices = Slices(context, deployment, rate=rate, mix=f"{context.fanout()[0]}=1")
         # The allowance needs about 5 s to grow to the full rate; the slice leaves twice that time.
