--- a/include/ragwortdrift/node/admin_messages.hpp
+++ b/include/ragwortdrift/node/admin_messages.hpp
@@ -63,6 +63,7 @@
       EnumName<Code>{Code::Internal, "internal"}};
 };
 
+/// A failure of a control call.
 struct ControlError {
   ControlErrorCode m_Code{};
   /// What was found, for people; may be empty.
@@ -77,6 +78,7 @@
       EnumName<VoterChangeKind>{VoterChangeKind::Add, "add"},
       EnumName<VoterChangeKind>{VoterChangeKind::Remove, "remove"}};
 };
+/// Which VM becomes a voter or stops being one.
 struct VoterChange {
   VmId m_Vm;
   VoterChangeKind m_Kind{};
@@ -89,6 +91,7 @@
       EnumName<VoterRole>{VoterRole::Follower, "follower"},
       EnumName<VoterRole>{VoterRole::Learner, "learner"}};
 };
+/// A member of the replicated log as one VM knows it.
 struct VoterReport {
   VmId m_Vm;
   VoterRole m_Role{};
@@ -102,6 +105,7 @@
       EnumName<VmCondition>{VmCondition::Leaving, "leaving"},
       EnumName<VmCondition>{VmCondition::Dead, "dead"}};
 };
+/// A VM as one VM's membership list has it.
 struct VmReport {
   VmId m_Vm;
   FailureDomain m_Domain;
@@ -192,11 +196,25 @@
   std::vector<ConfigError> m_Faults;
 };
 
-/// Reads and checks an operator's HTTP request.
+/// Reads and checks an operator's HTTP request. It only looks at the request,
+/// so it may run on any thread.
+///
+///   POST /admin/submit    Rd-Submit-Id, optional Rd-Base-Revision; a manifest
+///   POST /admin/domain    Rd-Submit-Id; {"domain": NAME, "state": "out"|"in"}
+///   POST /admin/leaf      Rd-Submit-Id; {"leaf": NAME,
+///                         "state": "drain"|"return"}
+///   POST /admin/voter     {"vm": NAME, "change": "add"|"remove"}
+///   GET  /admin/customer  ?name=NAME
+///   GET  /admin/status, /admin/manifest, /ready, /metrics
+///   POST /admin/snapshot
 Result<AdminRequest, AdminFault>
 parseAdminRequest(const AdminHttpRequest &Request);
 
-/// The HTTP responses. Bodies are JSON objects; only metrics are text.
+/// The HTTP responses. Bodies are JSON objects; only metrics are text. Every
+/// failure has the member `error`. An answer that the replicated state gave has
+/// the member `result`: accepted with `revision`, conflict with
+/// `current_revision`, or refused; `resent` is true when it is the first result
+/// of a submit id that came before.
 AdminHttpResponse toResponse(const AdminFault &Fault);
 AdminHttpResponse toResponse(const SubmitId &Id,
                              const Result<CommandResult, ControlError> &Found);
--- a/include/ragwortdrift/state/command.hpp
+++ b/include/ragwortdrift/state/command.hpp
@@ -73,6 +73,7 @@
   }
 };
 
+/// Removes the entry of a VM; without effect when there is none.
 struct RemoveVm {
   VmId m_Vm;
 
@@ -135,6 +136,7 @@
   }
 };
 
+/// A change of the replicated state.
 using Command =
     std::variant<SubmitManifest, DomainOrder, LeafOrder, RegisterVm, RemoveVm,
                  ClaimBooking, RecordOutcome, ReleaseClaim>;
@@ -190,6 +192,7 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(m_Code); }
 };
 
+/// What a command with a submit id led to.
 using SubmitResult = std::variant<Accepted, Conflict, Refused>;
 
 /// The submit id came before; this is what it led to then.
@@ -250,18 +253,21 @@
       EnumName<Code>{Code::HasOutcome, "has_outcome"}};
 };
 
+/// The claims are unchanged.
 struct ClaimRefused {
   ClaimRefusalCode m_Code{};
   friend bool operator==(const ClaimRefused &, const ClaimRefused &) = default;
   template <class Archive> void serialize(Archive &Ar) { Ar(m_Code); }
 };
 
+/// The outcome is kept, or was already kept by the same command.
 struct OutcomeRecorded {
   friend bool operator==(const OutcomeRecorded &,
                          const OutcomeRecorded &) = default;
   template <class Archive> void serialize(Archive & /*Ar*/) {}
 };
 
+/// The key may be claimed anew.
 struct ClaimReleased {
   friend bool operator==(const ClaimReleased &,
                          const ClaimReleased &) = default;
--- a/src/ragwortdrift/tools/ctl/ctl_test.cpp
+++ b/src/ragwortdrift/tools/ctl/ctl_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 
+// Criterion's macros break Boost.Intrusive, so Boost's headers come first.
 #include "ragwortdrift/testing/table.hpp"
 
 #include <cstdio>
