--- a/src/ragwortdrift/consensus/log_store_test.cpp
+++ b/src/ragwortdrift/consensus/log_store_test.cpp
@@ -103,6 +103,29 @@
   cr_assert(errorOf(Opened).m_Code == StoreErrorCode::Damaged);
 }
 
+// Guards against a start on a damaged snapshot or store file.
+TABLE_TEST(LogStore, damagedFilesAreRefused, FlippedBits) {
+  for (const std::string &Name :
+       {log_format::StoreName, log_format::SnapshotName}) {
+    auto Disk = filledDisk();
+    {
+      SimStore Store(SimFiles(Disk), StoreId(78));
+      cr_assert(isOk(Store.open()));
+      cr_assert(isOk(Store.saveSnapshot({3, 1, {}, "state"}, {}, {})));
+      Disk->processEnded();
+    }
+    std::size_t Size = Disk->bytes(Name).size();
+    for (std::size_t At = 0; At < Size; ++At) {
+      Disk->bytes(Name)[At] ^= static_cast<char>(Row);
+      auto Opened = reopen(Disk);
+      cr_assert(!isOk(Opened), "%s byte %zu", Name.c_str(), At);
+      cr_assert_eq(errorOf(Opened).m_File, Name);
+      Disk->bytes(Name)[At] ^= static_cast<char>(Row);
+    }
+    cr_assert(isOk(reopen(Disk)));
+  }
+}
+
 // Guards against an acknowledgement after a failed write or sync.
 Test(LogStore, nothingIsWrittenAfterAnError) {
   for (bool Full : {true, false}) {
--- a/src/ragwortdrift/consensus/replicated_log_test.cpp
+++ b/src/ragwortdrift/consensus/replicated_log_test.cpp
@@ -36,6 +36,9 @@
     Callbacks.m_Send = [this, Vm](const VmId &To, const std::string &,
                                   const std::string &Bytes) {
       m_Sent.push_back({Vm, To, Bytes});
+      Message Sent = valueOf(decode<Message>(Bytes));
+      const auto *Append = std::get_if<AppendRequest>(&Sent.m_Body);
+      m_Appends += Append && !Append->m_Entries.empty();
     };
     Callbacks.m_Apply = [&State](LogIndex, const std::string &Payload) {
       State += Payload;
@@ -80,6 +83,8 @@
   std::map<VmId, std::unique_ptr<ReplicatedLog>> m_Logs;
   std::vector<Sent> m_Sent;
   std::uint64_t m_Starts = 0;
+  /// Append messages with entries sent so far.
+  int m_Appends = 0;
 };
 
 const std::size_t ClusterSizes[] = {1, 2, 3, 4, 5};
@@ -116,3 +121,97 @@
   for (const auto &[Vm, State] : Cluster.m_States)
     cr_assert(State == Expected);
 }
+
+// Guards against an fsync or a message for each proposal of a busy turn.
+Test(ReplicatedLog, batchesProposalsOfOneTurn) {
+  SmallCluster Cluster(3);
+  Cluster.run(3s);
+  ReplicatedLog *Leader = Cluster.leader();
+  std::uint64_t Syncs = Leader->status().m_SyncCount;
+  int Acknowledged = 0;
+  for (int I = 0; I < 10; ++I)
+    Leader->propose("x", [&](const Result<LogIndex, ProposeError> &R) {
+      Acknowledged += isOk(R);
+    });
+  Cluster.m_Appends = 0;
+  Cluster.run(20ms);
+  cr_assert_eq(Acknowledged, 10);
+  cr_assert_eq(Leader->status().m_SyncCount, Syncs + 1);
+  cr_assert_eq(Cluster.m_Appends, 2);
+}
+
+// Guards the typed errors that callers act on.
+Test(ReplicatedLog, refusalsAreTyped) {
+  SmallCluster Cluster(2);
+  Cluster.run(3s);
+  ReplicatedLog *Leader = Cluster.leader();
+  VmId LeaderVm = Leader->status().m_Leader->m_Vm;
+  VmId Other(LeaderVm == VmId("vm0") ? "vm1" : "vm0");
+  std::optional<ProposeError> Proposed;
+  std::optional<MembershipError> Changed;
+  auto OnProposed = [&](const Result<LogIndex, ProposeError> &R) {
+    cr_assert(!isOk(R));
+    Proposed = errorOf(R);
+  };
+  auto OnChanged = [&](const Result<Done, MembershipError> &R) {
+    cr_assert(!isOk(R));
+    Changed = errorOf(R);
+  };
+
+  Cluster.m_Logs.at(Other)->propose("x", OnProposed);
+  cr_assert_not(Proposed, "callbacks run after the call");
+  Cluster.run(5ms);
+  cr_assert(Proposed->m_Code == ProposeErrorCode::NotLeader);
+  cr_assert(Proposed->m_Leader->m_Vm == LeaderVm);
+  cr_assert_eq(Proposed->m_Leader->m_Address, std::string("address"));
+  Leader->propose(std::string(std::size_t{513} * 1024, 'x'), OnProposed);
+  Cluster.run(5ms);
+  cr_assert(Proposed->m_Code == ProposeErrorCode::TooLarge);
+
+  Cluster.m_Logs.at(Other)->addVoter(VmId("vm9"), "a", OnChanged);
+  Cluster.run(5ms);
+  cr_assert(Changed->m_Code == MembershipErrorCode::NotLeader);
+  Leader->removeVoter(VmId("vm9"), OnChanged);
+  Cluster.run(5ms);
+  cr_assert(Changed->m_Code == MembershipErrorCode::UnknownVoter);
+  std::optional<MembershipError> Late;
+  Leader->addVoter(
+      VmId("vm9"), "a",
+      [&](const Result<Done, MembershipError> &R) { Late = errorOf(R); });
+  Leader->removeVoter(Other, OnChanged);
+  Cluster.run(5ms);
+  cr_assert(Changed->m_Code == MembershipErrorCode::ChangeInProgress);
+  Cluster.run(31s);
+  cr_assert(Late->m_Code == MembershipErrorCode::NotCaughtUp);
+
+  Leader->removeVoter(Other, [](const Result<Done, MembershipError> &R) {
+    cr_assert(isOk(R));
+  });
+  Cluster.run(1s);
+  Leader->removeVoter(LeaderVm, OnChanged);
+  Cluster.run(5ms);
+  cr_assert(Changed->m_Code == MembershipErrorCode::LastVoter);
+}
+
+// Guards against a proposal that is reported as failed for certain, or never
+// answered, when its leader loses the majority.
+Test(ReplicatedLog, lostLeadershipIsReported) {
+  SmallCluster Cluster(3);
+  Cluster.run(3s);
+  ReplicatedLog *Leader = Cluster.leader();
+  VmId LeaderVm = Leader->status().m_Leader->m_Vm;
+  for (const FirstVoter &Voter : Cluster.m_First)
+    if (Voter.m_Vm != LeaderVm)
+      Cluster.stop(Voter.m_Vm);
+  std::optional<ProposeErrorCode> Proposed, Read;
+  Leader->propose("x", [&](const Result<LogIndex, ProposeError> &R) {
+    Proposed = errorOf(R).m_Code;
+  });
+  Leader->confirmLeadership([&](const Result<LogIndex, ProposeError> &R) {
+    Read = errorOf(R).m_Code;
+  });
+  Cluster.run(700ms);
+  cr_assert(Proposed == ProposeErrorCode::LostLeadership);
+  cr_assert(Read == ProposeErrorCode::NotLeader);
+  cr_assert(Leader->status().m_Role != RaftRole::Leader);
+}
