--- a/src/ragwortdrift/consensus/consensus_fuzz_main.cpp
+++ b/src/ragwortdrift/consensus/consensus_fuzz_main.cpp
@@ -16,6 +16,7 @@
   std::chrono::seconds m_Faulty{20};
   unsigned m_Jobs = 1;
   bool m_Trace = false;
+  FuzzProfile m_Profile = FuzzProfile::Mixed;
 };
 
 /// Runs all seeds; the number of failed ones.
@@ -28,7 +29,7 @@
   auto Work = [&] {
     for (std::uint64_t Seed = Next++; Seed <= Options.m_Last; Seed = Next++) {
       try {
-        ConsensusFuzz Fuzz(Seed, Options.m_Trace);
+        ConsensusFuzz Fuzz(Seed, Options.m_Trace, Options.m_Profile);
         Acknowledged += Fuzz.run(Options.m_Faulty);
         std::scoped_lock Lock(Output);
         for (const auto &[Name, Count] : Fuzz.events())
@@ -59,6 +60,7 @@
   namespace po = boost::program_options;
   FuzzOptions Options;
   std::string Seeds;
+  std::string Profile;
   unsigned Seconds = 20;
   po::options_description Described("consensus_fuzz: random faults against the "
                                     "replicated log, in virtual time");
@@ -68,6 +70,7 @@
     ("seeds", po::value(&Seeds)->required(), "A..B, both included")
     ("seconds", po::value(&Seconds)->default_value(20), "virtual seconds with faults for each seed")
     ("jobs", po::value(&Options.m_Jobs)->default_value(4), "threads")
+    ("profile", po::value(&Profile)->default_value("mixed"), "mixed or churn")
     ("trace", po::bool_switch(&Options.m_Trace), "print faults and changes");
   // clang-format on
   try {
@@ -78,6 +81,11 @@
       return 0;
     }
     po::notify(Values);
+    auto Parsed = parseEnum<FuzzProfile>(Profile);
+    if (!Parsed)
+      throw po::validation_error(po::validation_error::invalid_option_value,
+                                 "profile", Profile);
+    Options.m_Profile = *Parsed;
     std::size_t Dots = Seeds.find("..");
     Options.m_First = std::stoull(Seeds);
     Options.m_Last = Dots == std::string::npos
--- a/src/ragwortdrift/testing/consensus_fuzz.hpp
+++ b/src/ragwortdrift/testing/consensus_fuzz.hpp
@@ -5,12 +5,25 @@
 
 namespace ragwortdrift {
 
+/// Mixed draws from all faults. Churn only replaces leaders quickly, with
+/// links that fail one way and payloads that fill a message, so that logs
+/// diverge within many terms.
+enum class FuzzProfile { Mixed, Churn };
+template <> struct EnumNames<FuzzProfile> {
+  static constexpr std::array Entries{
+      EnumName<FuzzProfile>{FuzzProfile::Mixed, "mixed"},
+      EnumName<FuzzProfile>{FuzzProfile::Churn, "churn"}};
+};
+
 /// One run of the replicated log under random faults, in virtual time. Throws
 /// SimFailure when a rule does not hold.
 class ConsensusFuzz {
 public:
-  ConsensusFuzz(std::uint64_t Seed, bool Trace)
-      : m_Sim(Seed, /*Voters=*/1 + Seed % 5, /*Spares=*/2) {
+  ConsensusFuzz(std::uint64_t Seed, bool Trace,
+                FuzzProfile Profile = FuzzProfile::Mixed)
+      : m_Sim(Seed, votersFor(Seed, Profile),
+              /*Spares=*/Profile == FuzzProfile::Mixed ? 2 : 0),
+        m_Profile(Profile) {
     m_Sim.m_Trace = Trace;
   }
 
@@ -20,7 +33,7 @@
     m_Sim.m_CrashInOpenPercent = 20;
     while (m_Sim.now() < TimePoint{Faulty}) {
       m_Sim.run(std::chrono::milliseconds(1 + m_Sim.draw(30)));
-      act();
+      m_Profile == FuzzProfile::Mixed ? act() : churn();
     }
     endFaults();
     checkRecovery();
@@ -34,6 +47,30 @@
 private:
   using Node = ConsensusSim::Node;
 
+  static std::size_t votersFor(std::uint64_t Seed, FuzzProfile Profile) {
+    return Profile == FuzzProfile::Mixed ? 1 + Seed % 5 : 3 + Seed % 3;
+  }
+
+  void churn() {
+    Node &N = m_Sim.randomNode();
+    Node *Leader = m_Sim.leader();
+    std::uint64_t Kind = m_Sim.draw(1000);
+    if (Kind < 300 && Leader)
+      m_Sim.propose(*Leader, /*BigPercent=*/60);
+    else if (Kind < 340)
+      m_Sim.block((Leader ? *Leader : N).m_Vm, m_Sim.randomNode().m_Vm);
+    else if (Kind < 370)
+      m_Sim.healNetwork();
+    else if (Kind < 390 && Leader)
+      m_Sim.stop(*Leader, m_Sim.chance(50));
+    else if (Kind < 400)
+      (Leader ? *Leader : N).m_Disk->crashIn(1 + m_Sim.draw(4));
+    else if (Kind < 500)
+      m_Sim.start(N);
+    else if (Kind < 505)
+      changeNetwork();
+  }
+
   void act() {
     Node &N = m_Sim.randomNode();
     Node *Leader = m_Sim.leader();
@@ -170,6 +207,7 @@
   }
 
   ConsensusSim m_Sim;
+  FuzzProfile m_Profile;
 };
 
 } // namespace ragwortdrift
--- a/src/ragwortdrift/testing/consensus_sim.hpp
+++ b/src/ragwortdrift/testing/consensus_sim.hpp
@@ -266,11 +266,11 @@
     return Best;
   }
 
-  void propose(Node &N) {
+  void propose(Node &N, unsigned BigPercent = 5) {
     if (!N.m_Log)
       return;
     std::string Payload = "p" + std::to_string(++m_Proposals);
-    Payload.resize(Payload.size() + draw(chance(5) ? 3000 : 60), '.');
+    Payload.resize(Payload.size() + draw(chance(BigPercent) ? 3000 : 60), '.');
     N.m_Log->propose(Payload,
                      [this, Payload](const Result<LogIndex, ProposeError> &R) {
                        if (isOk(R))
