--- a/include/ragwortdrift/consensus/log_store.hpp
+++ b/include/ragwortdrift/consensus/log_store.hpp
@@ -42,7 +42,8 @@
   using Status = Result<Done, StoreError>;
 
   Status format(const std::vector<std::string> &Names);
-  Result<RecoveredLog, StoreError> recover(std::vector<std::string> Names);
+  Result<RecoveredLog, StoreError>
+  recover(const std::vector<std::string> &Names);
   Result<std::uint64_t, StoreError> readSnapshot(bool Exists,
                                                  RecoveredLog &Out);
   Status readSegments(const std::vector<std::uint64_t> &Segments,
--- a/include/ragwortdrift/consensus/log_store_impl.hpp
+++ b/include/ragwortdrift/consensus/log_store_impl.hpp
@@ -24,7 +24,7 @@
     return std::count(valueOf(Names).begin(), valueOf(Names).end(), Name) != 0;
   };
   if (Has(log_format::StoreName))
-    return recover(std::move(valueOf(Names)));
+    return recover(valueOf(Names));
   if (auto Formatted = format(valueOf(Names)); !isOk(Formatted))
     return errorOf(Formatted);
   return RecoveredLog{};
@@ -62,7 +62,7 @@
 
 template <FileOps Files>
 Result<RecoveredLog, StoreError>
-BasicLogStore<Files>::recover(std::vector<std::string> Names) {
+BasicLogStore<Files>::recover(const std::vector<std::string> &Names) {
   auto StoreBytes = readFile(log_format::StoreName);
   if (!isOk(StoreBytes))
     return errorOf(StoreBytes);
--- a/include/ragwortdrift/consensus/raft_core.hpp
+++ b/include/ragwortdrift/consensus/raft_core.hpp
@@ -27,7 +27,7 @@
   unsigned m_ElectionTicksMin = 20;
   unsigned m_ElectionTicksMax = 40;
   /// Bound of the payload bytes in one append message and of a snapshot part.
-  std::size_t m_MaxMessageBytes = 256 * 1024;
+  std::size_t m_MaxMessageBytes = std::size_t{256} * 1024;
   /// Entries before a snapshot that stay in memory for followers that lag a
   /// little, so that they need no snapshot.
   LogIndex m_TrailingEntries = 200;
--- a/src/ragwortdrift/testing/consensus_sim.hpp
+++ b/src/ragwortdrift/testing/consensus_sim.hpp
@@ -378,7 +378,7 @@
     return Out;
   }
 
-  void send(Packet P) {
+  void send(const Packet &P) {
     for (bool Again = true; Again; Again = chance(m_RepeatPercent)) {
       if (chance(m_LossPercent))
         continue;
