--- a/src/ragwortdrift/consensus/consensus_fuzz_test.cpp
+++ b/src/ragwortdrift/consensus/consensus_fuzz_test.cpp
@@ -17,9 +17,11 @@
 /// queries multiplied (3, 9).
 const std::uint64_t FormerFailures[] = {3, 9, 60, 741, 755};
 
-void runSeed(std::uint64_t Seed, Duration Faulty) {
+void runSeed(std::uint64_t Seed, Duration Faulty,
+             FuzzProfile Profile = FuzzProfile::Mixed) {
   try {
-    cr_assert_gt(ConsensusFuzz(Seed, /*Trace=*/false).run(Faulty), 0U);
+    ConsensusFuzz Fuzz(Seed, /*Trace=*/false, Profile);
+    cr_assert_gt(Fuzz.run(Faulty), 0U);
   } catch (const SimFailure &Failure) {
     cr_assert(false, "seed %llu: %s", static_cast<unsigned long long>(Seed),
               Failure.what());
@@ -45,6 +47,13 @@
     runSeed(Seed, 20s);
 }
 
+// Guards the same rules while leaders change quickly and voters restart within
+// elections.
+TABLE_TEST(ConsensusFuzz, rulesHoldUnderChurn, SeedBlocks) {
+  for (std::uint64_t Seed = Row; Seed < Row + BlockSize; ++Seed)
+    runSeed(Seed, 40s, FuzzProfile::Churn);
+}
+
 TABLE_TEST(ConsensusFuzz, formerFailuresStayFixed, FormerFailures) {
   runSeed(Row, 40s);
 }
--- /dev/null
+++ b/src/ragwortdrift/consensus/raft_core_test.cpp
@@ -0,0 +1,114 @@
+#include "ragwortdrift/consensus/raft_core.hpp"
+#include "ragwortdrift/testing/table.hpp"
+
+using namespace ragwortdrift;
+
+namespace {
+
+MemberKey voter(int Number) {
+  return {VmId("vm" + std::to_string(Number)), StoreId(100)};
+}
+
+/// The core of voter 0 of five, with a membership entry of term 1, an entry of
+/// term 2, and term 3 on disk.
+class FiveVoters {
+public:
+  FiveVoters() : m_Core({}, voter(0), recovered(), m_Engine) {}
+
+  static RecoveredLog recovered() {
+    Membership First;
+    for (int I = 0; I < 5; ++I)
+      First.m_Voters.push_back({voter(I), "address"});
+    RecoveredLog Out;
+    Out.m_Hard = {ClusterId(1), 3, {}};
+    Out.m_Entries = {{1, 1, EntryKind::Membership, encode(First)},
+                     {2, 2, EntryKind::Payload, "old"}};
+    return Out;
+  }
+
+  void step(int From, LogTerm Term, MessageBody Body) {
+    m_Core.step({ClusterId(1), voter(From), "address", voter(0), Term,
+                 std::move(Body)});
+  }
+
+  Effects settle() {
+    Effects Out = m_Core.takeEffects();
+    m_Core.persisted();
+    return Out;
+  }
+
+  /// Elected in term 4 by voters 1 and 2; entry 3 is the first of its term.
+  void lead() {
+    while (m_Core.role() == RaftRole::Follower)
+      m_Core.tick();
+    for (bool PreVote : {true, false})
+      for (int From : {1, 2})
+        step(From, 4, VoteAnswer{PreVote, true});
+    cr_assert(m_Core.role() == RaftRole::Leader);
+    settle();
+  }
+
+  std::mt19937_64 m_Engine{1};
+  RaftCore m_Core;
+};
+
+} // namespace
+
+// Guards against a commit of an entry of an older term by counting copies; a
+// later leader without it could still be elected.
+Test(RaftCore, olderTermIsCommittedOnlyWithOwnTerm) {
+  FiveVoters Five;
+  Five.lead();
+  for (int From : {1, 2, 3, 4})
+    Five.step(From, 4, AppendAnswer{true, 2});
+  cr_assert_eq(Five.m_Core.commitIndex(), 0U);
+  Five.step(1, 4, AppendAnswer{true, 3});
+  cr_assert_eq(Five.m_Core.commitIndex(), 0U);
+  Five.step(2, 4, AppendAnswer{true, 3});
+  cr_assert_eq(Five.m_Core.commitIndex(), 3U);
+}
+
+// Guards against a vote that is sent before it is on disk, and against a second
+// vote in the same term.
+Test(RaftCore, voteIsInTheHardStateOfItsBatch) {
+  FiveVoters Five;
+  VoteRequest Request{false, false, 2, 2};
+  Five.step(1, 4, Request);
+  Effects First = Five.settle();
+  cr_assert(First.m_Hard && First.m_Hard->m_VotedFor == voter(1));
+  cr_assert_eq(First.m_Hard->m_Term, 4U);
+  cr_assert(
+      std::get<VoteAnswer>(First.m_Messages[0].m_Message.m_Body).m_Granted);
+  Five.step(2, 4, Request);
+  Effects Second = Five.settle();
+  cr_assert_not(
+      std::get<VoteAnswer>(Second.m_Messages[0].m_Message.m_Body).m_Granted);
+}
+
+// Guards against the vote or acknowledgement of a replaced disk counting for
+// the old one.
+Test(RaftCore, otherStoreOfAVoterDoesNotCount) {
+  FiveVoters Five;
+  Five.lead();
+  Five.step(1, 4, AppendAnswer{true, 3});
+  for (int From : {2, 3, 4}) {
+    MemberKey Replaced = voter(From);
+    Replaced.m_Store = StoreId(200);
+    Five.m_Core.step({ClusterId(1), Replaced, "address", voter(0), 4,
+                      AppendAnswer{true, 3}});
+  }
+  cr_assert_eq(Five.m_Core.commitIndex(), 0U);
+}
+
+// Guards against one message for each entry while a follower's log is searched
+// for the last common entry.
+Test(RaftCore, rejectionSkipsAWholeTerm) {
+  FiveVoters Five;
+  Five.lead();
+  Five.step(1, 4, AppendAnswer{false, 2, 1, 0});
+  Effects Out = Five.settle();
+  const auto &Sent =
+      std::get<AppendRequest>(Out.m_Messages[0].m_Message.m_Body);
+  cr_assert_eq(Sent.m_PrevIndex, 0U);
+  cr_assert_eq(Sent.m_Entries.size(), 3U);
+}
