--- a/src/ragwortdrift/membership/lease_test.cpp
+++ b/src/ragwortdrift/membership/lease_test.cpp
@@ -42,6 +42,8 @@
   std::unique_ptr<LeaseHolder> m_Holder;
   std::map<std::string, TimePoint> m_HandOverAt;
   int m_Side = 0;
+  /// True while messages reach the VM but none leaves it.
+  bool m_Mute = false;
   std::uint64_t m_Starts = 0;
 };
 
@@ -92,6 +94,8 @@
     return std::uniform_real_distribution<>()(m_Random) < P;
   }
   void post(const VmId &From, const VmId &To, bool ToTable, std::string Bytes) {
+    if (m_Machines.at(From).m_Mute)
+      return;
     const int Copies =
         m_Faults ? (chance(m_Loss) ? 0 : 1 + chance(m_Repeat)) : 1;
     for (int I = 0; I < Copies; ++I) {
@@ -154,7 +158,7 @@
         std::next(m_Machines.begin(),
                   static_cast<std::ptrdiff_t>(m_Random() % m_Machines.size()));
     Machine &M = It->second;
-    switch (m_Random() % 6) {
+    switch (m_Random() % 7) {
     case 0:
       if (!m_Down.contains(M.m_Id))
         boot(M);
@@ -174,6 +178,9 @@
       for (auto &[Id, Other] : m_Machines)
         Other.m_Side = 0;
       break;
+    case 5:
+      M.m_Mute = !M.m_Mute;
+      break;
     default:
       // A wrong view of who is alive must not break the exclusion.
       if (!m_Down.contains(M.m_Id)) {
@@ -190,6 +197,7 @@
     m_Network.clear();
     for (auto &[Id, M] : m_Machines) {
       M.m_Side = 0;
+      M.m_Mute = false;
       if (m_Down.erase(Id) != 0)
         boot(M);
     }
@@ -295,6 +303,30 @@
               Row.m_Name, toMillis(Worst) / 1000, Last - First + 1);
 }
 
+// Guards against a grant to the next start of a holder before the requests of
+// the earlier start must have ended, and against a release by an earlier one.
+Test(lease, starts_of_a_holder_are_told_apart) {
+  TimerService Timers;
+  LeaseTable Table(Timers, VmId("vm-0-0"));
+  Table.setCatalog(makeCatalog({2}, 1));
+  Timers.advanceTo(TimePoint{1500ms});
+  const auto Ask = [&](std::uint64_t Start, std::uint64_t Round,
+                       LeaseAction Action) {
+    const auto Answer = Table.receive(
+        VmId("vm-0-1"),
+        encode(LeaseRequest{Incarnation(Start), Round, {{"s/d0/0", Action}}}));
+    cr_assert(isOk(Answer) && valueOf(Answer));
+    const auto Decoded = decode<LeaseResponse>(*valueOf(Answer));
+    return valueOf(Decoded).m_Answers.at(0).m_Verdict;
+  };
+  cr_expect(Ask(1, 5, LeaseAction::Claim) == LeaseVerdict::Granted);
+  cr_expect(Ask(2, 1, LeaseAction::Claim) == LeaseVerdict::HeldByOther);
+  Ask(2, 2, LeaseAction::Release);
+  cr_expect(Ask(2, 3, LeaseAction::Claim) == LeaseVerdict::HeldByOther);
+  Timers.advanceTo(TimePoint{3000ms});
+  cr_expect(Ask(2, 4, LeaseAction::Claim) == LeaseVerdict::Granted);
+}
+
 // Guards against a slow take-over when an owner dies (section 6: 1.5 to 2 s).
 Test(lease, owner_death_and_drain) {
   World W(3, {3, 3}, 4);
