--- a/src/ragwortdrift/node/query_run.cpp
+++ b/src/ragwortdrift/node/query_run.cpp
@@ -71,17 +71,7 @@
 }
 
 std::optional<LeafIndex> QueryRun::currentIndex(LeafIndex Leaf) const {
-  if (current())
-    return Leaf;
-  const auto &Leafs = m_Routing.m_Service->m_Leafs;
-  const LeafId &Id = m_Service->m_Leafs[Leaf].m_Id;
-  const auto Found = std::find_if(Leafs.begin(), Leafs.end(),
-                                  [&](const ragwortdrift::Leaf &Candidate) {
-                                    return Candidate.m_Id == Id;
-                                  });
-  if (Found == Leafs.end())
-    return std::nullopt;
-  return static_cast<LeafIndex>(Found - Leafs.begin());
+  return current() ? Leaf : sameLeaf(*m_Service, Leaf, *m_Routing.m_Service);
 }
 
 void QueryRun::cancel() {
@@ -201,6 +191,10 @@
     finishBooking(std::move(Answer), Of);
     return;
   }
+  if (Answer.m_Status == RelayStatus::VersionNotOffered)
+    m_Assembly.noteVersionRefused(Of.m_Group);
+  if (Answer.m_Status == RelayStatus::QueueFull)
+    m_QueuesFull = true;
   if (Answer.m_Status == RelayStatus::Answered)
     takePart(m_Attempts[Answer.m_Item], Answer);
   else if (!m_Assembly.hasPart(Of.m_Group) && !followOwner(Of, Answer))
@@ -467,10 +461,10 @@
   if (m_Ended)
     return;
   const AdmissionOutcome Load =
-      DeadlineCut ? AdmissionOutcome::Overloaded : AdmissionOutcome::Completed;
+      m_QueuesFull ? AdmissionOutcome::Overloaded : AdmissionOutcome::Completed;
   QueryAnswer Answer = buildAnswer(DeadlineCut);
   if (Answer.m_Parts.empty()) {
-    end(refusalWithoutAnswer(), AdmissionOutcome::Overloaded);
+    end(refusalWithoutAnswer(), Load);
     return;
   }
   const double Coverage =
@@ -479,7 +473,7 @@
     end(Refusal{QueryRefusalCode::CoverageTooLow, false,
                 "answered " + std::to_string(Answer.m_Parts.size()) + " of " +
                     std::to_string(Answer.m_GroupsAsked) + " groups"},
-        AdmissionOutcome::Overloaded);
+        Load);
     return;
   }
   if (!Answer.m_Missing.empty())
--- a/src/ragwortdrift/node/query_run.hpp
+++ b/src/ragwortdrift/node/query_run.hpp
@@ -113,6 +113,7 @@
   bool m_AskedAgain = false;
   bool m_Dispatching = false;
   bool m_MayHaveRun = false;
+  bool m_QueuesFull = false;
   bool m_Ended = false;
   std::vector<GroupState> m_Groups;
   std::vector<Attempt> m_Attempts;
