--- a/include/ragwortdrift/net/http_server.hpp
+++ b/include/ragwortdrift/net/http_server.hpp
@@ -61,6 +61,8 @@
   /// Several servers may listen on one address; the kernel spreads connections
   /// over them.
   Result<Done, HttpError> listen(const std::string &Ip, std::uint16_t Port);
+  /// The port that is listened on.
+  std::uint16_t port() const { return m_Acceptor.local_endpoint().port(); }
   /// Refuses new connections and closes each open one after its next answer.
   void beginStop();
   std::size_t connections() const { return m_Connections.size(); }
