--- a/src/ragwortdrift/membership/config_follower_test.cpp
+++ b/src/ragwortdrift/membership/config_follower_test.cpp
@@ -71,8 +71,8 @@
       return;
     N.m_Follower = std::make_unique<ConfigFollower>(
         m_Timers, vmOf(I), FailureDomain("d"), *N.m_Source,
-        [this, I](const VmId &Parent, std::string Bytes) {
-          pull(I, std::stoul(Parent.m_Value.substr(3)), std::move(Bytes));
+        [this, I](const VmId &Parent, const std::string &Bytes) {
+          pull(I, std::stoul(Parent.m_Value.substr(3)), Bytes);
         },
         [&N](Revision Rev, const Document &Doc, const std::vector<Delta> &) {
           cr_assert(Rev > N.m_Highest, "a revision went back");
@@ -102,13 +102,14 @@
           m_InFlight.erase(Id);
         });
   }
-  void pull(std::size_t Child, std::size_t Parent, std::string Bytes) {
+  void pull(std::size_t Child, std::size_t Parent, const std::string &Bytes) {
     if (!m_Nodes[Parent].m_Source)
       return;
     const std::size_t Size = Bytes.size();
     carry(Child, Parent, Size, [this, Child, Parent, Bytes] {
       cr_assert(isOk(m_Nodes[Parent].m_Source->pull(
-          vmOf(Child), Bytes, [this, Child, Parent](std::string Out, bool) {
+          vmOf(Child), Bytes,
+          [this, Child, Parent](const std::string &Out, bool) {
             const std::size_t OutSize = Out.size();
             carry(Parent, Child, OutSize, [this, Child, Parent, Out] {
               cr_assert(
@@ -318,7 +319,7 @@
   cr_expect(Source.revision() == Revision(Row.m_Applies ? 6 : 5));
   ConfigFollower Follower(
       Timers, VmId("a"), FailureDomain("d"), Source,
-      [](const VmId &, std::string) {},
+      [](const VmId &, const std::string &) {},
       [](Revision, const Document &, const std::vector<Delta> &) {});
   Follower.setMembers({}, {VmId("v")});
   const ConfigAnswer Newer{1, ConfigAnswerKind::NoChange, Revision(9),
@@ -371,7 +372,8 @@
     for (int I = 0; I < Round % 4 && !Bytes.empty(); ++I)
       Bytes[Random() % Bytes.size()] = static_cast<char>(Random());
     (void)T.m_Nodes[3].m_Follower->receive(vmOf(4), Bytes);
-    (void)T.m_Nodes[3].m_Source->pull(vmOf(4), Bytes, [](std::string, bool) {});
+    (void)T.m_Nodes[3].m_Source->pull(vmOf(4), Bytes,
+                                      [](const std::string &, bool) {});
   }
   cr_expect(T.m_Nodes[3].m_Source->revision() == Revision(1));
 }
--- a/src/ragwortdrift/membership/lease_test.cpp
+++ b/src/ragwortdrift/membership/lease_test.cpp
@@ -72,8 +72,8 @@
     M.m_Holder = std::make_unique<LeaseHolder>(
         *M.m_Timers, std::mt19937_64(m_Random()), M.m_Id, M.m_Domain,
         Incarnation(++M.m_Starts),
-        [this, &M](const VmId &To, std::string Bytes) {
-          post(M.m_Id, To, true, std::move(Bytes));
+        [this, &M](const VmId &To, const std::string &Bytes) {
+          post(M.m_Id, To, true, Bytes);
         },
         [this, &M](const std::string &Key, LeaseState State) {
           // Requests in flight end within 300 ms.
@@ -93,7 +93,8 @@
   bool chance(double P) {
     return std::uniform_real_distribution<>()(m_Random) < P;
   }
-  void post(const VmId &From, const VmId &To, bool ToTable, std::string Bytes) {
+  void post(const VmId &From, const VmId &To, bool ToTable,
+            const std::string &Bytes) {
     if (m_Machines.at(From).m_Mute)
       return;
     const int Copies =
