--- a/scripts/lab/config_experiments.py
+++ b/scripts/lab/config_experiments.py
@@ -89,10 +89,10 @@
     policy["conflicts"] = sum(each.conflicts for each in operators)
     policy["resent_submits"] = sum(each.resent for each in operators)
     policy["unclear_submits"] = sum(each.unclear for each in operators)
-    # Two acknowledged changes with one marker mean that one of them was lost.
-    policy["lost_acknowledged"] = sum(each.accepted_twice for each in operators) + policy["behind"]
+    # Two acknowledged changes with one marker mean that one of them was lost; so does a last change that no VM has.
+    policy["lost_acknowledged"] = sum(each.accepted_twice for each in operators) + policy.pop("lost_last")
     slow = policy["in_force_max_s"] is None or policy["in_force_max_s"] > IN_FORCE_LIMIT_S
-    policy["violations"] += policy["reverted"] + policy["lost_acknowledged"] + int(slow)
+    policy["violations"] += policy["reverted"] + policy["lost_acknowledged"] + policy["behind"] + int(slow)
     baseline.update(in_force_max_s=None, reverted=0, lost_acknowledged=0)
     return halves
 
--- a/scripts/lab/config_observer.py
+++ b/scripts/lab/config_observer.py
@@ -111,4 +111,5 @@
         # The limit must be exactly the last accepted one: a further byte is refused.
         beyond = [vm.name for vm in self.deployment.vms if self.probe(vm, self.highest + 1)]
         return {"in_force_max_s": max(self.delays, default=None), "reverted": self.reverted, "behind": len(behind),
+                "lost_last": int(self.highest > 0 and max(self.seen.values()) < self.highest),
                 "beyond_acknowledged": len(beyond), "changes": len(self.acknowledged)}
--- a/scripts/lab/lab_test.py
+++ b/scripts/lab/lab_test.py
@@ -66,9 +66,12 @@
 
     def test_one_vm_never_follows(self):
         values = self.observe({"a": 2, "b": 1}, [1, 2])
-        self.assertEqual(values["behind"], 1)
+        self.assertEqual((values["behind"], values["lost_last"]), (1, 0))
         self.assertGreaterEqual(values["in_force_max_s"], 0.5)
 
+    def test_change_that_no_vm_has_is_lost(self):
+        self.assertEqual(self.observe({"a": 1, "b": 1}, [1, 2])["lost_last"], 1)
+
     def test_vm_that_does_not_answer_is_behind(self):
         self.assertEqual(self.observe({"a": 2, "b": None}, [2])["behind"], 1)
 
