--- a/scripts/lab/deployment.py
+++ b/scripts/lab/deployment.py
@@ -7,6 +7,7 @@
 import secrets
 import shutil
 import signal
+import socket
 import subprocess
 import tempfile
 
@@ -22,12 +23,28 @@
 CONTROL_OFFSET = 0
 VM_OFFSET = 20
 LEAF_OFFSET = 120
+# Another deployment on the machine may hold a range of ports; the next one is tried.
+BASE_STEP = 300
 
 
 class DeploymentFailed(Exception):
     """A program did not start or an order was refused."""
 
 
+def free_base_port(base_port, count):
+    """The first base at or after base_port, in steps of BASE_STEP, from which count ports are free."""
+    for base in range(base_port, base_port + 20 * BASE_STEP, BASE_STEP):
+        try:
+            for port in range(base, base + count):
+                with socket.socket() as probe:
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    probe.bind(("127.0.0.1", port))
+            return base
+        except OSError:
+            continue
+    raise DeploymentFailed(f"no free ports from {base_port}")
+
+
 @dataclasses.dataclass
 class Vm:
     """One daemon with its addresses."""
@@ -65,7 +82,8 @@
 
     def __init__(self, site, base_port, seed=1, vms_per_domain=2, threads=1, leaf_options=None, log_level="info"):
         self.site = site
-        self.base_port = base_port
+        leafs = len(sites.leafs_of(site, 0))
+        self.base_port = base_port = free_base_port(base_port, LEAF_OFFSET + leafs)
         self.seed = seed
         self.threads = threads
         self.leaf_options = leaf_options or {}
