--- a/include/ragwortdrift/consensus/raft_core.hpp
+++ b/include/ragwortdrift/consensus/raft_core.hpp
@@ -90,7 +90,7 @@
   /// Joins a cluster while the log is empty.
   void bind(ClusterId Cluster);
   /// Writes the first membership into an empty log.
-  void bootstrap(Membership First);
+  void bootstrap(const Membership &First);
 
   RaftRole role() const { return m_Role; }
   LogTerm term() const { return m_Hard.m_Term; }
@@ -181,7 +181,7 @@
   void onSnapshotAnswer(const Message &In, const SnapshotAnswer &Body);
 
   // raft_membership.cpp
-  Result<LogIndex, MembershipError> changeMembership(Membership Next);
+  Result<LogIndex, MembershipError> changeMembership(const Membership &Next);
   std::optional<MembershipError> changeRefused() const;
   void promoteLearner();
   void syncProgress();
--- a/include/ragwortdrift/consensus/replicated_log_impl.hpp
+++ b/include/ragwortdrift/consensus/replicated_log_impl.hpp
@@ -283,7 +283,7 @@
   }
   if (auto First = m_Bootstrap->result()) {
     m_Core->bind(Own);
-    m_Core->bootstrap(std::move(*First));
+    m_Core->bootstrap(*First);
     m_Bootstrap.reset();
   } else {
     for (OutMessage &Query : m_Bootstrap->queries())
--- a/src/ragwortdrift/consensus/raft_core.cpp
+++ b/src/ragwortdrift/consensus/raft_core.cpp
@@ -155,7 +155,7 @@
   becomeFollower(m_Hard.m_Term, std::nullopt);
 }
 
-void RaftCore::bootstrap(Membership First) {
+void RaftCore::bootstrap(const Membership &First) {
   m_Hard.m_Term = std::max<LogTerm>(m_Hard.m_Term, 1);
   m_HardDirty = true;
   LogEntry Entry{1, 1, EntryKind::Membership, encode(First)};
--- a/src/ragwortdrift/consensus/raft_membership.cpp
+++ b/src/ragwortdrift/consensus/raft_membership.cpp
@@ -28,7 +28,7 @@
   std::erase_if(Next.m_Voters, SameVm);
   std::erase_if(Next.m_Learners, SameVm);
   Next.m_Learners.push_back(std::move(New));
-  return changeMembership(std::move(Next));
+  return changeMembership(Next);
 }
 
 Result<LogIndex, MembershipError> RaftCore::removeMember(const VmId &Vm) {
@@ -40,10 +40,11 @@
           std::erase_if(Next.m_Learners, SameVm) ==
       0)
     return MembershipError{MembershipErrorCode::UnknownVoter, leaderHint()};
-  return changeMembership(std::move(Next));
+  return changeMembership(Next);
 }
 
-Result<LogIndex, MembershipError> RaftCore::changeMembership(Membership Next) {
+Result<LogIndex, MembershipError>
+RaftCore::changeMembership(const Membership &Next) {
   if (Next.m_Voters.empty())
     return MembershipError{MembershipErrorCode::LastVoter, leaderHint()};
   appendLocal(EntryKind::Membership, encode(Next));
@@ -60,7 +61,7 @@
       continue;
     Next.m_Voters.push_back(std::move(*It));
     Next.m_Learners.erase(It);
-    changeMembership(std::move(Next));
+    changeMembership(Next);
     return;
   }
 }
