--- a/src/ragwortdrift/testing/consensus_fuzz.hpp
+++ b/src/ragwortdrift/testing/consensus_fuzz.hpp
@@ -92,7 +92,7 @@
     if (Is(600))
       proposeSome(Leader && !m_Sim.chance(10) ? *Leader : N);
     else if (Is(60))
-      m_Sim.read(Leader && m_Sim.chance(70) ? *Leader : N);
+      readEverywhere(Leader && m_Sim.chance(70) ? *Leader : N);
     else if (Is(20))
       changeNetwork();
     else if (Is(12))
@@ -119,6 +119,14 @@
       Leader->m_Log->transferLeadership();
   }
 
+  /// Also asks leaders of older terms, which must not confirm.
+  void readEverywhere(Node &Chosen) {
+    m_Sim.read(Chosen);
+    for (auto &[Vm, N] : m_Sim.nodes())
+      if (&N != &Chosen)
+        m_Sim.read(N);
+  }
+
   void proposeSome(Node &N) {
     for (std::uint64_t Count = 1 + m_Sim.draw(4); Count > 0; --Count)
       m_Sim.propose(N);
