--- a/src/ragwortdrift/tools/load/answer_check.cpp
+++ b/src/ragwortdrift/tools/load/answer_check.cpp
@@ -19,13 +19,14 @@
 };
 
 constexpr std::array Errors{
-    ErrorRow{"bad_request", 400},       ErrorRow{"unknown_service", 404},
-    ErrorRow{"too_large", 413},         ErrorRow{"overloaded", 503},
-    ErrorRow{"stopping", 503},          ErrorRow{"no_configuration", 503},
-    ErrorRow{"no_quorum", 503},         ErrorRow{"coverage_too_low", 504},
-    ErrorRow{"deadline_exceeded", 504}, ErrorRow{"may_have_run", 409},
-    ErrorRow{"key_reused", 409},        ErrorRow{"key_expired", 409},
-    ErrorRow{"key_in_progress", 409},   ErrorRow{"internal", 500}};
+    ErrorRow{"bad_request", 400},      ErrorRow{"unknown_service", 404},
+    ErrorRow{"too_large", 413},        ErrorRow{"overloaded", 503},
+    ErrorRow{"stopping", 503},         ErrorRow{"no_configuration", 503},
+    ErrorRow{"no_quorum", 503},        ErrorRow{"unavailable", 503},
+    ErrorRow{"coverage_too_low", 504}, ErrorRow{"deadline_exceeded", 504},
+    ErrorRow{"may_have_run", 409},     ErrorRow{"key_reused", 409},
+    ErrorRow{"key_expired", 409},      ErrorRow{"key_in_progress", 409},
+    ErrorRow{"internal", 500}};
 
 /// Decimal rounding of the coverage in the answer is accepted up to this.
 constexpr double CoverageTolerance = 1e-6;
