Pass over owners that fall silent and keep voters without a quorum up to date

Change: an entry VM counts an owner as silent when at least 3 of its requests are open and it has answered none for max(60 ms, 8 medians) while another owner has answered; its groups are asked once more elsewhere, outside the hedge budget, and it gets no requests for 500 ms. A VM with a data folder that knows no leader pulls from the other VMs with a disk.

--- a/include/ragwortdrift/node/query_engine.hpp
+++ b/include/ragwortdrift/node/query_engine.hpp
@@ -51,6 +51,8 @@
   std::uint64_t m_LeafRequests = 0;
   std::uint64_t m_Hedges = 0;
   std::uint64_t m_Retries = 0;
+  /// Requests sent to another owner because theirs was silent.
+  std::uint64_t m_Failovers = 0;
 };
 
 /// The entry side of a VM on one traffic thread: it fans queries out to the
@@ -94,9 +96,27 @@
 
 private:
   friend class QueryRun;
+
+  /// The open leaf requests under one owner, over all queries.
+  struct OwnerWatch {
+    std::size_t m_Open = 0;
+    /// The last answer, or the first request since none was open.
+    TimePoint m_LastSign;
+    TimePoint m_LastAnswer;
+    TimePoint m_SuspectUntil;
+  };
+
   ServiceRouting &routing(const std::shared_ptr<const Service> &Of);
   void launch(std::shared_ptr<QueryRun> Run);
   std::optional<VmId> ownerOf(const std::string &Partition) const;
+  void noteSent(const VmId &Owner, std::size_t Items);
+  void noteAnswer(const VmId &Owner);
+  void noteClosed(const VmId &Owner);
+  /// Whether the owner has several requests and has answered none of any query
+  /// for Limit; it then counts as suspect for a while.
+  bool noteSilence(const VmId &Owner, Duration Limit);
+  bool silent(const VmId &Owner, Duration Limit) const;
+  void updateAllOwners();
   void learnOwner(const std::string &Partition, const VmId &Owner);
   void forgetOwner(const std::string &Partition, const VmId &Owner);
   void updateOwners(ServiceRouting &Routing) const;
@@ -110,6 +130,7 @@
   /// Owners that other VMs named in refusals; they count before the view's
   /// until the view names a different one than when they were learnt.
   std::unordered_map<std::string, VmId> m_LearntOwners;
+  std::unordered_map<VmId, OwnerWatch> m_Watches;
   std::unordered_map<QueryRun *, std::shared_ptr<QueryRun>> m_Runs;
   std::uint64_t m_NextRelay;
   std::uint64_t m_NextRequestId = 0;
--- a/src/ragwortdrift/node/control_config.cpp
+++ b/src/ragwortdrift/node/control_config.cpp
@@ -116,12 +116,15 @@
     const auto Leader = m_Log->status().m_Leader;
     if (Leader && Leader->m_Vm != m_Settings.m_Vm)
       return {Leader->m_Vm};
-    return {};
+    if (Leader)
+      return {};
+    // A VM whose disk was replaced belongs to no quorum until it is added, and
+    // learns the configuration like one without a disk.
   }
   std::vector<VmId> Voters;
   if (m_Catalog)
     for (const auto &[Id, Each] : m_Catalog->m_Vms)
-      if (Each.m_HasDisk)
+      if (Each.m_HasDisk && Id != m_Settings.m_Vm)
         Voters.push_back(Id);
   if (!Voters.empty())
     return Voters;
--- a/src/ragwortdrift/node/query_engine.cpp
+++ b/src/ragwortdrift/node/query_engine.cpp
@@ -4,8 +4,19 @@
 
 #include "ragwortdrift/base/hash.hpp"
 
+#include <algorithm>
+
 namespace ragwortdrift {
 
+namespace {
+
+/// Fewer open requests may all be stragglers.
+constexpr std::size_t MinOpenForSilence = 3;
+/// How long a silent owner gets no requests; then it is tried again.
+constexpr std::chrono::milliseconds SuspectTime{500};
+
+} // namespace
+
 void QueryEngine::Handle::cancel() {
   if (auto Run = m_Run.lock())
     Run->cancel();
@@ -39,8 +50,8 @@
       Routing->m_Admission.setMax(m_View->m_Catalog->m_Limits.m_MaxInFlight);
       Routing->m_Budget.setRatio(m_View->m_Catalog->m_Limits.m_HedgeRatio);
     }
-    if (NewCatalog || NewOwners)
-      updateOwners(*Routing);
+    // Also ends the suspicion of owners whose time is over.
+    updateOwners(*Routing);
   }
 }
 
@@ -69,13 +80,75 @@
 
 std::optional<VmId> QueryEngine::ownerOf(const std::string &Partition) const {
   const auto Learnt = m_LearntOwners.find(Partition);
-  if (Learnt != m_LearntOwners.end())
-    return Learnt->second;
   const auto Known = m_View->m_Owners.find(Partition);
-  if (Known == m_View->m_Owners.end() ||
-      m_View->m_Unavailable.contains(Known->second))
+  if (Learnt == m_LearntOwners.end() && Known == m_View->m_Owners.end())
+    return std::nullopt;
+  const VmId &Owner =
+      Learnt != m_LearntOwners.end() ? Learnt->second : Known->second;
+  const auto Watch = m_Watches.find(Owner);
+  if (Watch != m_Watches.end() && Watch->second.m_SuspectUntil > m_Timers.now())
     return std::nullopt;
-  return Known->second;
+  return Owner;
+}
+
+void QueryEngine::noteSent(const VmId &Owner, std::size_t Items) {
+  OwnerWatch &Watch = m_Watches[Owner];
+  if (Watch.m_Open == 0)
+    Watch.m_LastSign = m_Timers.now();
+  Watch.m_Open += Items;
+}
+
+void QueryEngine::noteAnswer(const VmId &Owner) {
+  if (Owner.m_Value.empty())
+    return;
+  OwnerWatch &Watch = m_Watches[Owner];
+  Watch.m_LastSign = Watch.m_LastAnswer = m_Timers.now();
+  if (Watch.m_Open > 0)
+    --Watch.m_Open;
+  if (Watch.m_SuspectUntil <= m_Timers.now())
+    return;
+  Watch.m_SuspectUntil = TimePoint{};
+  updateAllOwners();
+}
+
+void QueryEngine::noteClosed(const VmId &Owner) {
+  if (Owner.m_Value.empty())
+    return;
+  OwnerWatch &Watch = m_Watches[Owner];
+  if (Watch.m_Open > 0)
+    --Watch.m_Open;
+}
+
+bool QueryEngine::silent(const VmId &Owner, Duration Limit) const {
+  const auto Watch = m_Watches.find(Owner);
+  return Watch != m_Watches.end() &&
+         Watch->second.m_Open >= MinOpenForSilence &&
+         m_Timers.now() - Watch->second.m_LastSign >= Limit;
+}
+
+bool QueryEngine::noteSilence(const VmId &Owner, Duration Limit) {
+  if (!silent(Owner, Limit))
+    return false;
+  // When nobody answers, this VM itself was held up or is cut off, and passing
+  // all owners over would leave nobody to ask.
+  const TimePoint Recent = m_Timers.now() - 2 * Limit;
+  const bool HeardOther =
+      std::any_of(m_Watches.begin(), m_Watches.end(), [&](const auto &Each) {
+        return Each.first != Owner && Each.second.m_LastAnswer > Recent;
+      });
+  if (!HeardOther)
+    return false;
+  OwnerWatch &Watch = m_Watches[Owner];
+  if (Watch.m_SuspectUntil <= m_Timers.now()) {
+    Watch.m_SuspectUntil = m_Timers.now() + SuspectTime;
+    updateAllOwners();
+  }
+  return true;
+}
+
+void QueryEngine::updateAllOwners() {
+  for (auto &[Name, Routing] : m_Routing)
+    updateOwners(*Routing);
 }
 
 void QueryEngine::learnOwner(const std::string &Partition, const VmId &Owner) {
--- a/src/ragwortdrift/node/query_engine_test.cpp
+++ b/src/ragwortdrift/node/query_engine_test.cpp
@@ -239,6 +239,39 @@
   cr_assert_not(Why.m_NotRun);
 }
 
+// Guards against queries that wait for their deadline because the owner of some
+// of their leafs fell silent, and against more than one failover a group.
+Test(query_engine, asks_other_owners_when_one_falls_silent) {
+  Fixture Setup(viewOf("fanout", 12));
+  const auto AnswerOthers = [&](const VmId &Silent) {
+    const std::size_t Known = Setup.m_Relays.size();
+    for (std::size_t Index = 0; Index < Known; ++Index) {
+      const auto Relay = Setup.m_Relays[Index];
+      if (Relay->m_Owner != Silent)
+        for (const RelayItem &Item : Relay->m_Request.m_Items)
+          Relay->m_Answer(answered(Item.m_Item, 7, "part"));
+    }
+  };
+  Setup.start({});
+  cr_assert_geq(Setup.m_Relays.size(), 2U);
+  VmId Silent;
+  for (const auto &Relay : Setup.m_Relays)
+    if (Relay->m_Request.m_Items.size() >= 3)
+      Silent = Relay->m_Owner;
+  cr_assert_not(Silent.m_Value.empty());
+  for (int Millis = 0; Millis < 100; ++Millis) {
+    AnswerOthers(Silent);
+    Setup.advance(1ms);
+  }
+  cr_assert_eq(Setup.m_Outcomes.size(), 1U);
+  cr_assert_eq(std::get<QueryAnswer>(Setup.m_Outcomes.front()).m_Parts.size(),
+               12U);
+  Setup.m_Relays.clear();
+  Setup.start({});
+  for (const auto &Relay : Setup.m_Relays)
+    cr_assert_neq(Relay->m_Owner, Silent);
+}
+
 // Guards against leaf work that goes on after the caller has left.
 Test(query_engine, ends_all_relays_when_the_caller_leaves) {
   Fixture Setup(viewOf("fanout", GroupCount));
--- a/src/ragwortdrift/node/query_run.cpp
+++ b/src/ragwortdrift/node/query_run.cpp
@@ -14,6 +14,11 @@
 constexpr std::uint32_t MaxRounds = 4;
 /// Wait before a group whose replicas all refused is asked again.
 constexpr std::chrono::milliseconds DefaultRetryWait{20};
+/// An owner without any answer for the longer of these is passed over: a
+/// quarter of the default deadline, or several times the usual leaf latency.
+constexpr std::chrono::milliseconds MinOwnerSilence{60};
+constexpr int MediansOfSilence = 8;
+constexpr double MinLatencySamples = 20;
 /// How long an answer that showed a leaf serving vouches for its process.
 constexpr std::chrono::seconds WarmValidity{10};
 
@@ -131,7 +136,7 @@
       RelayAnswer Refused;
       Refused.m_Item = Item;
       Refused.m_Status = RelayStatus::NotOwner;
-      onAnswer(std::move(Refused));
+      onAnswer(std::move(Refused), false);
     }
   }
   m_Dispatching = false;
@@ -164,12 +169,13 @@
     Message.m_Items.push_back(std::move(Out));
   }
   m_Engine.m_Counts.m_LeafRequests += Attempts.size();
+  m_Engine.noteSent(Owner, Attempts.size());
   m_Relays.emplace_back();
   m_Relays.back() = m_Engine.m_Environment.m_StartRelay(
       Owner, std::move(Message),
       [Weak = weak_from_this()](RelayAnswer Answer) {
         if (auto Self = Weak.lock())
-          Self->onAnswer(std::move(Answer));
+          Self->onAnswer(std::move(Answer), true);
       },
       [Weak = weak_from_this(), Relay](RelayLost Why) {
         if (auto Self = Weak.lock())
@@ -177,11 +183,11 @@
       });
 }
 
-void QueryRun::onAnswer(RelayAnswer Answer) {
+void QueryRun::onAnswer(RelayAnswer Answer, bool Heard) {
   if (m_Ended || Answer.m_Item >= m_Attempts.size() ||
       !m_Attempts[Answer.m_Item].m_Open)
     return;
-  close(m_Attempts[Answer.m_Item]);
+  close(m_Attempts[Answer.m_Item], Heard);
   const Attempt Of = m_Attempts[Answer.m_Item];
   learn(Of, Answer);
   if (Answer.m_Status == RelayStatus::MayHaveRun ||
@@ -218,12 +224,16 @@
     Answer.m_Item = Item;
     Answer.m_Status =
         Why.m_MaybeSent ? RelayStatus::MayHaveRun : RelayStatus::ConnectFailed;
-    onAnswer(std::move(Answer));
+    onAnswer(std::move(Answer), false);
   }
 }
 
-void QueryRun::close(Attempt &Of) {
+void QueryRun::close(Attempt &Of, bool Heard) {
   Of.m_Open = false;
+  if (Heard)
+    m_Engine.noteAnswer(Of.m_Owner);
+  else
+    m_Engine.noteClosed(Of.m_Owner);
   --m_Groups[Of.m_Group].m_OpenAttempts;
 }
 
@@ -279,7 +289,7 @@
     Attempt &Of = m_Attempts[Item];
     if (!Of.m_Open || Of.m_Group != Group)
       continue;
-    close(Of);
+    close(Of, false);
     if (const auto Index = currentIndex(Of.m_Leaf))
       m_Routing.m_Replicas.onCancelled(now(), *Index, now() - Of.m_Sent);
     if (const auto &Cancel = m_Relays[Of.m_Relay].m_CancelItem)
@@ -384,8 +394,10 @@
 void QueryRun::onTick() {
   const auto Self = shared_from_this();
   resumeRetries();
-  if (!m_Ended && !booking())
+  if (!m_Ended && !booking()) {
+    failOver();
     hedge();
+  }
   if (!m_Ended)
     checkProgress();
 }
@@ -404,6 +416,37 @@
     dispatch(Next);
 }
 
+Duration QueryRun::silenceLimitOfOwners() const {
+  const auto Median =
+      m_Routing.m_Hedging.latency().quantile(now(), 0.5, MinLatencySamples);
+  return std::max<Duration>(MinOwnerSilence,
+                            Median.value_or(Duration{0}) * MediansOfSilence);
+}
+
+void QueryRun::failOver() {
+  const Duration Limit = silenceLimitOfOwners();
+  if (now() - m_Started < Limit)
+    return;
+  Batch Next;
+  const std::size_t Known = m_Attempts.size();
+  for (std::size_t Item = 0; Item < Known; ++Item) {
+    const Attempt Of = m_Attempts[Item];
+    GroupState &State = m_Groups[Of.m_Group];
+    if (!Of.m_Open || State.m_FailedOver || State.m_OpenAttempts != 1 ||
+        now() - Of.m_Sent < Limit || !m_Engine.noteSilence(Of.m_Owner, Limit))
+      continue;
+    // Not charged to the hedge budget: a silent owner sends nothing to leafs.
+    const auto Added = addAttempt(Of.m_Group, Of.m_Leaf);
+    if (!Added)
+      continue;
+    State.m_FailedOver = true;
+    ++m_Engine.m_Counts.m_Failovers;
+    addToBatch(*Added, Next);
+  }
+  if (!Next.empty())
+    dispatch(Next);
+}
+
 void QueryRun::hedge() {
   Batch Next;
   const std::size_t Known = m_Attempts.size();
--- a/src/ragwortdrift/node/query_run.hpp
+++ b/src/ragwortdrift/node/query_run.hpp
@@ -59,6 +59,7 @@
     std::uint32_t m_OpenAttempts = 0;
     std::uint32_t m_Rounds = 0;
     bool m_Hedged = false;
+    bool m_FailedOver = false;
     bool m_WaitsForRetry = false;
     TimePoint m_RetryAt;
   };
@@ -80,14 +81,16 @@
   void dispatchTo(const VmId &Owner, const Partition &To,
                   const std::vector<std::uint32_t> &Attempts);
 
-  void onAnswer(RelayAnswer Answer);
+  /// Heard is false for the outcome of a lost relay or an unknown owner.
+  void onAnswer(RelayAnswer Answer, bool Heard);
   void onLost(std::uint32_t Relay, RelayLost Why);
   void takePart(Attempt &Of, RelayAnswer &Answer);
   void learn(const Attempt &Of, const RelayAnswer &Answer);
   void noteRefusal(const Attempt &Of, const RelayAnswer &Answer);
   void retry(GroupIndex Group, const RelayAnswer &Answer);
   bool followOwner(const Attempt &Of, const RelayAnswer &Answer);
-  void close(Attempt &Of);
+  /// Ends an attempt; Heard says whether its owner answered.
+  void close(Attempt &Of, bool Heard);
   void cancelOthers(GroupIndex Group);
   void checkProgress();
   bool waiting() const;
@@ -95,6 +98,8 @@
 
   void onTick();
   void hedge();
+  void failOver();
+  Duration silenceLimitOfOwners() const;
   void resumeRetries();
   void finish(bool DeadlineCut);
   void finishBooking(RelayAnswer Answer, const Attempt &Of);
--- a/src/ragwortdrift/node/traffic_thread.cpp
+++ b/src/ragwortdrift/node/traffic_thread.cpp
@@ -419,6 +419,7 @@
   Set("ragwortdrift_leaf_requests_total", Counts.m_LeafRequests);
   Set("ragwortdrift_hedges_total", Counts.m_Hedges);
   Set("ragwortdrift_retries_total", Counts.m_Retries);
+  Set("ragwortdrift_failovers_total", Counts.m_Failovers);
   m_Metrics.gauge("ragwortdrift_queries_in_flight")
       .set(static_cast<double>(m_Engine.inFlight()));
   m_Metrics.gauge("ragwortdrift_leaf_requests_in_flight")
