--- a/include/ragwortdrift/consensus/raft_core.hpp
+++ b/include/ragwortdrift/consensus/raft_core.hpp
@@ -209,6 +209,9 @@
   unsigned m_Elapsed = 0;
   unsigned m_Timeout = 0;
   std::map<MemberKey, bool> m_Votes;
+  /// A candidate with an older log asked for this VM's vote. A learner then
+  /// campaigns too: the others may need its vote and cannot get it.
+  bool m_AskedForVote = false;
 
   std::map<MemberKey, Progress> m_Progress;
   LogIndex m_TermStart = 0;
--- a/src/ragwortdrift/consensus/consensus_fuzz_test.cpp
+++ b/src/ragwortdrift/consensus/consensus_fuzz_test.cpp
@@ -13,9 +13,10 @@
 constexpr std::uint64_t BlockSize = 25;
 
 /// Seeds that showed a fault once: a VM that held the only copy of its own
-/// removal did not campaign (60, 741, 755), and repeated answers to bootstrap
+/// removal did not campaign (60, 741, 755), a learner with the newest log did
+/// not either (1217), and repeated answers to bootstrap
 /// queries multiplied (3, 9).
-const std::uint64_t FormerFailures[] = {3, 9, 60, 741, 755};
+const std::uint64_t FormerFailures[] = {3, 9, 60, 741, 755, 1217};
 
 void runSeed(std::uint64_t Seed, Duration Faulty,
              FuzzProfile Profile = FuzzProfile::Mixed) {
--- a/src/ragwortdrift/consensus/raft_core.cpp
+++ b/src/ragwortdrift/consensus/raft_core.cpp
@@ -44,7 +44,7 @@
   if (m_Elapsed < m_Timeout)
     return;
   m_Leader.reset();
-  if (mayLead())
+  if (mayLead() || m_AskedForVote)
     campaign(/*PreVote=*/true, /*Transfer=*/false);
   else
     resetElectionTimer();
@@ -189,6 +189,8 @@
   failReads();
   m_Role = RaftRole::Follower;
   m_Leader = std::move(Leader);
+  if (m_Leader)
+    m_AskedForVote = false;
   m_Votes.clear();
   m_Progress.clear();
   m_TransferTo.reset();
--- a/src/ragwortdrift/consensus/raft_election.cpp
+++ b/src/ragwortdrift/consensus/raft_election.cpp
@@ -59,6 +59,7 @@
     return;
   bool UpToDate = std::pair(Body.m_LastTerm, Body.m_LastIndex) >=
                   std::pair(m_Log.lastTerm(), m_Log.lastIndex());
+  m_AskedForVote = m_AskedForVote || !UpToDate;
   if (Body.m_PreVote) {
     bool Granted = UpToDate && In.m_Term > m_Hard.m_Term;
     return reply(In, VoteAnswer{true, Granted},
