--- a/scripts/lab/local.py
+++ b/scripts/lab/local.py
@@ -9,7 +9,8 @@
 ROWS = (
     ("queries", "d"), ("answered", "d"), ("refused", "d"), ("p50_ms", ".1f"), ("p99_ms", ".1f"), ("p999_ms", ".1f"),
     ("coverage_mean", ".4f"), ("leaf_requests", "d"), ("extra_load_ratio", ".4f"), ("mixed_snapshots", "d"),
-    ("wrong_coverage", "d"), ("wrong_answers", "d"), ("late", "d"), ("ran_twice", "d"), ("false_not_run", "d"),
+    ("wrong_coverage", "d"), ("wrong_answers", "d"), ("late", "d"), ("untyped_refusals", "d"), ("ran_twice", "d"),
+    ("false_not_run", "d"),
     ("violations", "d"),
 )
 
