Keep an exchange alive until its abort handler is set; let the next owner claim at once

After a handover a partition had no owner until the next owner's renewal, 395 ms in a trace; with all partitions of a domain moving together coverage fell.

Change: the handler keeps the exchange; a holder tells the next owner when it has released a lease.

--- a/include/ragwortdrift/membership/lease_holder.hpp
+++ b/include/ragwortdrift/membership/lease_holder.hpp
@@ -44,6 +44,9 @@
   Result<Done, CodecError> receive(const VmId &From, std::string_view Bytes);
   /// Hands over all leases and claims none from now on.
   void drain();
+  /// Asks for leases at once instead of with the next renewal, because a holder
+  /// has said that it released one.
+  void claimNow() { tick(); }
   /// Releases a lease in state HandingOver; no effect in other states.
   void finishHandover(const std::string &Partition);
 
--- a/include/ragwortdrift/node/control_node.hpp
+++ b/include/ragwortdrift/node/control_node.hpp
@@ -83,6 +83,8 @@
   void updateMembers();
   void sendLease(const VmId &Grantor, std::string Bytes);
   void onLease(const std::string &Partition, LeaseState State);
+  void handOver(const std::string &Partition);
+  void announceRelease(const std::string &Partition);
   void updateOwners();
   void publishSoon();
   void publish();
@@ -122,6 +124,9 @@
   /// Keys of bookings that this VM is running or whose claim is in doubt.
   std::set<IdempotencyKey> m_OpenKeys;
   PeerCall m_Pull;
+  /// Partitions whose handover has begun and not ended.
+  std::set<std::string> m_HandingOver;
+  std::vector<TimerService::Subscription> m_Announcements;
   bool m_Registering = false;
   bool m_Confirming = false;
   bool m_PublishPending = false;
--- a/include/ragwortdrift/node/traffic_thread.hpp
+++ b/include/ragwortdrift/node/traffic_thread.hpp
@@ -50,12 +50,13 @@
 private:
   class RelayStream;
 
-  void onCaller(std::shared_ptr<HttpExchange> Exchange);
-  void runBooking(std::shared_ptr<HttpExchange> Exchange, QueryRequest Query);
+  void onCaller(const std::shared_ptr<HttpExchange> &Exchange);
+  void runBooking(const std::shared_ptr<HttpExchange> &Exchange,
+                  QueryRequest Query);
   RelayCall startRelay(const VmId &Owner, RelayRequest Request,
                        QueryEnvironment::OnAnswer OnAnswer,
                        QueryEnvironment::OnLost OnLost);
-  RelayCall startRemote(const Vm &Owner, RelayRequest Request,
+  RelayCall startRemote(const Vm &Owner, const RelayRequest &Request,
                         QueryEnvironment::OnAnswer OnAnswer,
                         QueryEnvironment::OnLost OnLost);
   RelayCall startLocal(RelayRequest Request,
--- a/src/ragwortdrift/node/control_config.cpp
+++ b/src/ragwortdrift/node/control_config.cpp
@@ -18,6 +18,12 @@
 /// Changes of owners within this time reach the traffic threads together.
 constexpr std::chrono::milliseconds PublishDelay{5};
 
+/// When the next owner is told of a release; the second time in case that the
+/// first arrives before the release.
+constexpr std::array<Duration, 2> AnnounceDelays{Duration{5'000},
+                                                 Duration{40'000}};
+constexpr std::ptrdiff_t MaxAnnouncements = 256;
+
 bool sameRegistration(const Vm &A, const Vm &B) {
   return A.m_Domain == B.m_Domain && A.m_Control == B.m_Control &&
          A.m_Relay == B.m_Relay && A.m_Admin == B.m_Admin &&
@@ -149,8 +155,14 @@
   logEvent(LogSeverity::Info, "placement.lease",
            {{"partition", Partition}, {"state", State}});
   publishSoon();
-  if (State != LeaseState::HandingOver)
-    return;
+  if (State == LeaseState::HandingOver)
+    handOver(Partition);
+  else if (m_HandingOver.erase(Partition) > 0 && State == LeaseState::None)
+    announceRelease(Partition);
+}
+
+void ControlNode::handOver(const std::string &Partition) {
+  m_HandingOver.insert(Partition);
   // Posted after the view without the lease, so nothing is admitted any more.
   publish();
   auto Waiting = std::make_shared<std::size_t>(m_Traffic.size());
@@ -164,6 +176,25 @@
     });
 }
 
+void ControlNode::announceRelease(const std::string &Partition) {
+  std::vector<VmId> Alive = m_Members.aliveVms(m_Settings.m_Domain);
+  std::erase(Alive, m_Settings.m_Vm);
+  if (Alive.empty())
+    return;
+  const auto Next =
+      controlAddress(rankedCandidates({Partition, {}, {}}, Alive).front());
+  if (!Next)
+    return;
+  // After the release has reached the grantors. Without the announcement the
+  // next owner would ask only with its renewal, up to 400 ms later.
+  for (const Duration Delay : AnnounceDelays)
+    m_Announcements.push_back(m_Timers.after(
+        Delay, [this, To = *Next] { sendOneWay(To, "/lease/claim", {}); }));
+  if (std::ssize(m_Announcements) > MaxAnnouncements)
+    m_Announcements.erase(m_Announcements.begin(),
+                          m_Announcements.end() - MaxAnnouncements);
+}
+
 void ControlNode::updateOwners() {
   if (!m_Catalog)
     return;
--- a/src/ragwortdrift/node/control_node.cpp
+++ b/src/ragwortdrift/node/control_node.cpp
@@ -236,6 +236,12 @@
                         m_Driver.refresh();
                         handleLease(Request, Out);
                       });
+  m_PeerServer.handle("/lease/claim",
+                      [this](const PeerRequest &, const Stream &Out) {
+                        m_Driver.refresh();
+                        m_Leases.claimNow();
+                        Out->finish();
+                      });
   m_PeerServer.handle("/config/pull",
                       [this](const PeerRequest &Request, const Stream &Out) {
                         m_Driver.refresh();
--- a/src/ragwortdrift/node/traffic_thread.cpp
+++ b/src/ragwortdrift/node/traffic_thread.cpp
@@ -53,9 +53,9 @@
                }}),
       m_Claims(std::move(Claims)),
       m_Callers(m_Io, callerLimits(),
-                [this](std::shared_ptr<HttpExchange> Exchange) {
+                [this](const std::shared_ptr<HttpExchange> &Exchange) {
                   m_Driver.refresh();
-                  onCaller(std::move(Exchange));
+                  onCaller(Exchange);
                 }),
       m_RelayServer(m_Io, m_Timers, Of.m_Key, Of.m_Vm),
       m_RelayClient(m_Io, m_Timers, Of.m_Key, Of.m_Vm) {
@@ -113,7 +113,7 @@
   return *m_Siblings[stableHash(Partition) % m_Siblings.size()];
 }
 
-void TrafficThread::onCaller(std::shared_ptr<HttpExchange> Exchange) {
+void TrafficThread::onCaller(const std::shared_ptr<HttpExchange> &Exchange) {
   auto Parsed = parseQuery(Exchange->request());
   if (!isOk(Parsed)) {
     respond(*Exchange, errorOf(Parsed));
@@ -126,11 +126,10 @@
   }
   QueryRequest &Query = valueOf(Parsed);
   if (Query.m_Booking) {
-    runBooking(std::move(Exchange), std::move(Query));
+    runBooking(Exchange, std::move(Query));
     return;
   }
   auto Handle = std::make_shared<QueryEngine::Handle>();
-  HttpExchange &Out = *Exchange;
   const TimePoint Started = m_Timers.now();
   *Handle =
       m_Engine.start(std::move(Query), [this, Exchange = std::move(Exchange),
@@ -139,10 +138,10 @@
             .record(m_Timers.now() - Started);
         respond(*Exchange, Outcome);
       });
-  Out.onAbort([Handle] { Handle->cancel(); });
+  Exchange->onAbort([Handle] { Handle->cancel(); });
 }
 
-void TrafficThread::runBooking(std::shared_ptr<HttpExchange> Exchange,
+void TrafficThread::runBooking(const std::shared_ptr<HttpExchange> &Exchange,
                                QueryRequest Query) {
   if (auto Why = m_Engine.check(Query)) {
     respond(*Exchange, *Why);
@@ -225,11 +224,12 @@
     asio::post(m_Io, [OnLost = std::move(OnLost)] { OnLost({false}); });
     return {};
   }
-  return startRemote(Found->second, std::move(Request), std::move(OnAnswer),
+  return startRemote(Found->second, Request, std::move(OnAnswer),
                      std::move(OnLost));
 }
 
-RelayCall TrafficThread::startRemote(const Vm &Owner, RelayRequest Request,
+RelayCall TrafficThread::startRemote(const Vm &Owner,
+                                     const RelayRequest &Request,
                                      QueryEnvironment::OnAnswer OnAnswer,
                                      QueryEnvironment::OnLost OnLost) {
   auto Call = std::make_shared<PeerCall>();
