Answer callers until the end of a graceful stop; report too large commands at once

Cause: a caller with a kept connection met a reset 2 s after SIGTERM, since idle connections were closed at the moment when refusals began. A command above the message limit was sent again until its timeout.

Change: answers say Connection: close from SIGTERM on, refusals go on for 0.5 s before connections close, and a too large command ends with that error.

--- a/include/ragwortdrift/net/http_server.hpp
+++ b/include/ragwortdrift/net/http_server.hpp
@@ -63,6 +63,9 @@
   Result<Done, HttpError> listen(const std::string &Ip, std::uint16_t Port);
   /// The port that is listened on.
   std::uint16_t port() const { return m_Acceptor.local_endpoint().port(); }
+  /// From now on each answer says that its connection closes. New connections
+  /// are still accepted.
+  void announceStop() { m_Stopping = true; }
   /// Refuses new connections and closes each open one after its next answer.
   void beginStop();
   std::size_t connections() const { return m_Connections.size(); }
--- a/include/ragwortdrift/node/traffic_thread.hpp
+++ b/include/ragwortdrift/node/traffic_thread.hpp
@@ -64,6 +64,7 @@
   void serveRelay(PeerRequest Request, std::shared_ptr<ResponseStream> Stream);
   void serveCancel(const PeerRequest &Request);
   TrafficThread &threadOf(const std::string &Partition) const;
+  void refuseCallers();
   void checkDrained();
   void checkIdle();
   void respond(HttpExchange &Exchange, const QueryOutcome &Outcome);
--- a/src/ragwortdrift/node/command_router.cpp
+++ b/src/ragwortdrift/node/command_router.cpp
@@ -177,6 +177,10 @@
   if (Item->m_Answered || !Item->m_Fn)
     return;
   m_KnownLeader.reset();
+  if (!isOk(Ended) && errorOf(Ended).m_Code == PeerErrorCode::TooLarge) {
+    finish(Item, CommandError{CommandErrorCode::TooLarge, {}});
+    return;
+  }
   if (isOk(Ended) || errorOf(Ended).m_MaybeSent)
     finish(Item, CommandError{CommandErrorCode::UnknownOutcome, {}});
   else
--- a/src/ragwortdrift/node/control_admin.cpp
+++ b/src/ragwortdrift/node/control_admin.cpp
@@ -99,7 +99,7 @@
                     "ask a VM with a data folder"});
     return;
   }
-  auto Finish = [Fn = std::move(Fn)](const Result<Done, MembershipError> &R) {
+  auto Finish = [Fn](const Result<Done, MembershipError> &R) {
     if (isOk(R))
       Fn(Done{});
     else
@@ -111,7 +111,8 @@
   }
   const auto Address = controlAddress(Change.m_Vm);
   if (!Address) {
-    Finish(MembershipError{MembershipErrorCode::UnknownVoter, {}});
+    Fn(ControlError{ControlErrorCode::UnknownVm,
+                    "no VM with this name is registered"});
     return;
   }
   m_Log->addVoter(Change.m_Vm, formatEndpoint(*Address), std::move(Finish));
--- a/src/ragwortdrift/node/traffic_thread.cpp
+++ b/src/ragwortdrift/node/traffic_thread.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::chrono::seconds MetricsPeriod{1};
 constexpr std::chrono::milliseconds DrainCheckInterval{5};
+/// How long a stop refuses callers' requests before it closes connections.
+constexpr std::chrono::milliseconds RefusalTime{500};
 /// Share of a booking's time that the claim may take; the rest is for the leaf.
 constexpr double ClaimTimeShare = 0.5;
 
@@ -360,13 +362,21 @@
 void TrafficThread::beginStop(Duration RefuseAfter,
                               std::function<void()> Drained) {
   asio::post(m_Io, [this, RefuseAfter, Drained = std::move(Drained)]() mutable {
+    m_Driver.refresh();
     m_Drained = std::move(Drained);
-    m_StopTimer = m_Timers.after(RefuseAfter, [this] {
-      m_Refusing = true;
-      m_Callers.beginStop();
-      m_StopTimer =
-          m_Timers.every(DrainCheckInterval, [this] { checkDrained(); });
-    });
+    m_Callers.announceStop();
+    m_StopTimer = m_Timers.after(RefuseAfter, [this] { refuseCallers(); });
+  });
+}
+
+void TrafficThread::refuseCallers() {
+  m_Refusing = true;
+  // A caller that sends on a kept connection just now still gets a typed
+  // refusal instead of a reset.
+  m_StopTimer = m_Timers.after(RefusalTime, [this] {
+    m_Callers.beginStop();
+    m_StopTimer =
+        m_Timers.every(DrainCheckInterval, [this] { checkDrained(); });
   });
 }
 
