--- a/include/ragwortdrift/net/http_client.hpp
+++ b/include/ragwortdrift/net/http_client.hpp
@@ -26,7 +26,7 @@
   using ConnectCallback = std::function<void(Result<Done, HttpError>)>;
   using Callback = std::function<void(Result<HttpResponse, HttpError>)>;
 
-  static constexpr std::uint64_t MaxBodyBytes = 1024 * 1024;
+  static constexpr std::uint64_t MaxBodyBytes = 1'048'576;
 
   explicit HttpClientConnection(boost::asio::io_context &Io) : m_Stream(Io) {}
 
--- a/include/ragwortdrift/node/command_router.hpp
+++ b/include/ragwortdrift/node/command_router.hpp
@@ -68,7 +68,8 @@
   /// that no leader has received it.
   void submit(Command Of, Duration Timeout, Callback Fn);
   /// Serves the path /command.
-  void serve(const PeerRequest &Request, std::shared_ptr<ResponseStream> Out);
+  void serve(const PeerRequest &Request,
+             const std::shared_ptr<ResponseStream> &Out);
   /// The results of an entry that was applied; called before the log reports
   /// the entry's proposal as done.
   void onApplied(LogIndex Index, std::vector<CommandResult> Results);
--- a/include/ragwortdrift/node/control_node.hpp
+++ b/include/ragwortdrift/node/control_node.hpp
@@ -46,14 +46,14 @@
 
   // The operators' calls; see AdminControl.
   void submit(Command Of, ControlCallback<CommandResult> Fn);
-  void changeVoter(const VoterChange &Change, ControlCallback<Done> Fn);
-  void status(ControlCallback<ControlStatus> Fn);
-  void manifest(ControlCallback<ManifestText> Fn);
+  void changeVoter(const VoterChange &Change, const ControlCallback<Done> &Fn);
+  void status(const ControlCallback<ControlStatus> &Fn);
+  void manifest(const ControlCallback<ManifestText> &Fn);
   void customer(const CustomerId &Name,
-                ControlCallback<std::optional<CustomerRecord>> Fn);
-  void takeSnapshot(ControlCallback<SnapshotReport> Fn);
-  void readiness(std::function<void(Readiness)> Fn);
-  void metrics(std::function<void(std::string)> Fn);
+                const ControlCallback<std::optional<CustomerRecord>> &Fn);
+  void takeSnapshot(const ControlCallback<SnapshotReport> &Fn);
+  void readiness(const std::function<void(Readiness)> &Fn);
+  void metrics(const std::function<void(std::string)> &Fn);
 
 private:
   struct AdminEndpoint;
--- a/include/ragwortdrift/node/leaf_owner.hpp
+++ b/include/ragwortdrift/node/leaf_owner.hpp
@@ -46,7 +46,7 @@
   void update(std::shared_ptr<const ControlView> View);
   /// Starts the items of a relay. Fn runs once for each item that is not
   /// cancelled before, never within this call.
-  std::shared_ptr<Relay> start(const RelayRequest &Request, OnAnswer Fn);
+  std::shared_ptr<Relay> start(const RelayRequest &Request, const OnAnswer &Fn);
   /// Requests at leafs and in queues.
   std::size_t inFlight() const;
   std::size_t inFlight(const std::string &Partition) const;
--- a/include/ragwortdrift/node/query_engine.hpp
+++ b/include/ragwortdrift/node/query_engine.hpp
@@ -107,7 +107,7 @@
   };
 
   ServiceRouting &routing(const std::shared_ptr<const Service> &Of);
-  void launch(std::shared_ptr<QueryRun> Run);
+  void launch(const std::shared_ptr<QueryRun> &Run);
   std::optional<VmId> ownerOf(const std::string &Partition) const;
   void noteSent(const VmId &Owner, std::size_t Items);
   void noteAnswer(const VmId &Owner);
--- a/src/ragwortdrift/node/command_router.cpp
+++ b/src/ragwortdrift/node/command_router.cpp
@@ -206,7 +206,7 @@
 }
 
 void CommandRouter::serve(const PeerRequest &Request,
-                          std::shared_ptr<ResponseStream> Out) {
+                          const std::shared_ptr<ResponseStream> &Out) {
   const auto Answer = [Out](const Reply &With) {
     Out->send(encode(With));
     Out->finish();
--- a/src/ragwortdrift/node/control_admin.cpp
+++ b/src/ragwortdrift/node/control_admin.cpp
@@ -93,7 +93,7 @@
 }
 
 void ControlNode::changeVoter(const VoterChange &Change,
-                              ControlCallback<Done> Fn) {
+                              const ControlCallback<Done> &Fn) {
   if (!m_Log) {
     Fn(ControlError{ControlErrorCode::NoStorage,
                     "ask a VM with a data folder"});
@@ -118,7 +118,7 @@
   m_Log->addVoter(Change.m_Vm, formatEndpoint(*Address), std::move(Finish));
 }
 
-void ControlNode::status(ControlCallback<ControlStatus> Fn) {
+void ControlNode::status(const ControlCallback<ControlStatus> &Fn) {
   ControlStatus Out;
   Out.m_Vm = m_Settings.m_Vm;
   Out.m_Domain = m_Settings.m_Domain;
@@ -144,12 +144,13 @@
   Fn(std::move(Out));
 }
 
-void ControlNode::manifest(ControlCallback<ManifestText> Fn) {
+void ControlNode::manifest(const ControlCallback<ManifestText> &Fn) {
   Fn(ManifestText{m_Source.revision(), formatManifest(m_Source.document())});
 }
 
-void ControlNode::customer(const CustomerId &Name,
-                           ControlCallback<std::optional<CustomerRecord>> Fn) {
+void ControlNode::customer(
+    const CustomerId &Name,
+    const ControlCallback<std::optional<CustomerRecord>> &Fn) {
   if (!m_Log) {
     Fn(ControlError{ControlErrorCode::NoStorage,
                     "ask a VM with a data folder"});
@@ -158,13 +159,13 @@
   Fn(m_State.findCustomer(Name));
 }
 
-void ControlNode::takeSnapshot(ControlCallback<SnapshotReport> Fn) {
+void ControlNode::takeSnapshot(const ControlCallback<SnapshotReport> &Fn) {
   Fn(ControlError{ControlErrorCode::Internal,
                   "snapshots on demand are not supported; the log takes one "
                   "every 1000 entries"});
 }
 
-void ControlNode::readiness(std::function<void(Readiness)> Fn) {
+void ControlNode::readiness(const std::function<void(Readiness)> &Fn) {
   if (m_Stopping)
     Fn(Readiness::Stopping);
   else
@@ -172,7 +173,7 @@
                                           : Readiness::Ready);
 }
 
-void ControlNode::metrics(std::function<void(std::string)> Fn) {
+void ControlNode::metrics(const std::function<void(std::string)> &Fn) {
   struct Gathered {
     MetricsSnapshot m_Merged;
     std::size_t m_Missing = 0;
--- a/src/ragwortdrift/node/control_node.cpp
+++ b/src/ragwortdrift/node/control_node.cpp
@@ -227,9 +227,9 @@
         Out->finish();
       });
   m_PeerServer.handle("/command",
-                      [this](const PeerRequest &Request, Stream Out) {
+                      [this](const PeerRequest &Request, const Stream &Out) {
                         m_Driver.refresh();
-                        m_Commands.serve(Request, std::move(Out));
+                        m_Commands.serve(Request, Out);
                       });
   m_PeerServer.handle("/lease",
                       [this](const PeerRequest &Request, const Stream &Out) {
--- a/src/ragwortdrift/node/leaf_owner.cpp
+++ b/src/ragwortdrift/node/leaf_owner.cpp
@@ -171,7 +171,7 @@
 }
 
 std::shared_ptr<LeafOwner::Relay> LeafOwner::start(const RelayRequest &Request,
-                                                   OnAnswer Fn) {
+                                                   const OnAnswer &Fn) {
   auto Handle = std::make_shared<Relay>();
   const RelayStatus Allowed = checkPartition(Request);
   for (const RelayItem &Item : Request.m_Items) {
--- a/src/ragwortdrift/node/query_engine.cpp
+++ b/src/ragwortdrift/node/query_engine.cpp
@@ -211,7 +211,7 @@
                                         std::move(Fn));
   Handle Result;
   Result.m_Run = Run;
-  launch(std::move(Run));
+  launch(Run);
   return Result;
 }
 
@@ -231,7 +231,7 @@
                                     std::move(Fn)));
 }
 
-void QueryEngine::launch(std::shared_ptr<QueryRun> Run) {
+void QueryEngine::launch(const std::shared_ptr<QueryRun> &Run) {
   m_Runs.emplace(Run.get(), Run);
   Run->start();
 }
--- a/src/ragwortdrift/node/query_run.hpp
+++ b/src/ragwortdrift/node/query_run.hpp
@@ -19,7 +19,7 @@
 
 /// What one traffic thread knows about a service, for all of its queries.
 struct ServiceRouting {
-  ServiceRouting(std::shared_ptr<const Service> Of, FailureDomain Own,
+  ServiceRouting(const std::shared_ptr<const Service> &Of, FailureDomain Own,
                  std::uint64_t Seed, const Limits &Bounds)
       : m_Service(Of), m_Replicas(Of, std::move(Own), Seed),
         m_Budget(Bounds.m_HedgeRatio), m_Snapshots(Of),
--- a/src/ragwortdrift/node/traffic_thread.cpp
+++ b/src/ragwortdrift/node/traffic_thread.cpp
@@ -133,9 +133,8 @@
   }
   auto Handle = std::make_shared<QueryEngine::Handle>();
   const TimePoint Started = m_Timers.now();
-  *Handle =
-      m_Engine.start(std::move(Query), [this, Exchange = std::move(Exchange),
-                                        Started](QueryOutcome Outcome) {
+  *Handle = m_Engine.start(
+      std::move(Query), [this, Exchange, Started](const QueryOutcome &Outcome) {
         m_Metrics.timing("ragwortdrift_query_seconds")
             .record(m_Timers.now() - Started);
         respond(*Exchange, Outcome);
