--- a/scripts/lab/load.py
+++ b/scripts/lab/load.py
@@ -7,7 +7,8 @@
 from lab.deployment import BUILD, DeploymentFailed
 
 SUMMED = (
-    "queries", "answered", "leaf_requests", "groups_asked", "duplicates", "mixed_snapshots", "wrong_coverage",
+    "queries", "answered", "leaf_requests", "groups_asked", "duplicates", "repeated_leaf_requests",
+    "mixed_snapshots", "wrong_coverage",
     "wrong_answers", "late", "untyped_refusals", "false_not_run", "ran_twice", "booked_without_run", "violations",
     "refused", "not_run", "cut", "silent", "connect_failed", "bookings", "booked", "abandoned", "resent", "seconds",
 )
--- a/src/ragwortdrift/node/traffic_thread.cpp
+++ b/src/ragwortdrift/node/traffic_thread.cpp
@@ -269,7 +269,7 @@
   TrafficThread &Target = threadOf(Request.m_Partition);
   RelayCall Result;
   if (&Target == this) {
-    auto Relay = m_Owner.start(Request, std::move(OnAnswer));
+    auto Relay = m_Owner.start(Request, OnAnswer);
     Result.m_CancelItem = [Relay](std::uint32_t Item) { Relay->cancel(Item); };
     Result.m_Open = std::move(Relay);
     return Result;
