Rebuild only changed services on every VM

Cause: a VM without a disk, and a voter that applied several revisions at once, rebuilt the whole catalog. Every open query then held services that were no longer the current ones, and could neither hedge nor retry. Change: the deltas received are merged into one update.

--- a/include/ragwortdrift/node/control_node.hpp
+++ b/include/ragwortdrift/node/control_node.hpp
@@ -75,7 +75,9 @@
   void onApplied(LogIndex Index, const std::string &Payload);
   void onRestored(const std::string &Bytes);
   void takeFromState();
-  void takeConfiguration();
+  /// Changes lead from the catalog in force to the revision held; empty when
+  /// the whole document was replaced.
+  void takeConfiguration(const std::vector<Delta> &Changes);
   void confirmFresh();
   void pull(const VmId &Parent, std::string Bytes);
   void registerSelf();
--- a/src/ragwortdrift/config/config_fuzz_test.cpp
+++ b/src/ragwortdrift/config/config_fuzz_test.cpp
@@ -1,4 +1,5 @@
 #include "ragwortdrift/config/catalog.hpp"
+#include "ragwortdrift/config/delta_merge.hpp"
 #include "ragwortdrift/config/manifest.hpp"
 #include "ragwortdrift/config/settings.hpp"
 #include "ragwortdrift/testing/random_document.hpp"
@@ -105,6 +106,30 @@
   }
 }
 
+// Guards against a VM that was several revisions behind and builds another
+// catalog than one that saw each of them.
+TABLE_TEST(config_fuzz, merged_deltas_lead_to_the_same_catalog, Seeds) {
+  Random Rng(Row);
+  Document Followed;
+  auto Current = buildCatalog(Revision{0}, Followed);
+  std::vector<Delta> Pending;
+  for (std::uint64_t Step = 0; Step < 100; ++Step) {
+    const Document Next = randomNext(Rng, Followed);
+    Pending.push_back(diffDocuments(Revision{Step}, Followed, Next));
+    Followed = Next;
+    if (Step % 5 != 4)
+      continue;
+    const Revision Rev{Step + 1};
+    Current =
+        updateCatalog(*Current, Followed, mergeDeltas(Pending, Rev, Followed));
+    Pending.clear();
+    const auto Fresh = buildCatalog(Rev, Followed);
+    cr_assert(Current->m_Revision == Rev);
+    cr_assert(show(*Current) == show(*Fresh), "seed %d step %d", Row,
+              int(Step));
+  }
+}
+
 // Guards against a delta that rebuilds services it does not touch.
 TABLE_TEST(config_fuzz, untouched_services_are_shared, Seeds) {
   Random Rng(Row);
--- a/src/ragwortdrift/node/control_config.cpp
+++ b/src/ragwortdrift/node/control_config.cpp
@@ -1,6 +1,7 @@
 #include "ragwortdrift/node/control_node.hpp"
 
 #include "ragwortdrift/base/log.hpp"
+#include "ragwortdrift/config/delta_merge.hpp"
 
 #include <boost/asio/post.hpp>
 
@@ -56,26 +57,29 @@
 void ControlNode::takeFromState() {
   if (m_State.revision() <= m_Source.revision())
     return;
+  std::vector<Delta> Changes;
   if (const auto Deltas = m_State.deltasSince(m_Source.revision())) {
-    for (const auto &Each : *Deltas)
+    for (const auto &Each : *Deltas) {
       m_Source.apply(*Each);
+      Changes.push_back(*Each);
+    }
   } else {
     m_Source.install(m_State.revision(), m_State.document());
   }
-  takeConfiguration();
+  takeConfiguration(Changes);
   m_Source.answerWaiting();
 }
 
-void ControlNode::takeConfiguration() {
+void ControlNode::takeConfiguration(const std::vector<Delta> &Changes) {
   const Revision Rev = m_Source.revision();
-  const Revision Before = m_Catalog ? m_Catalog->m_Revision : Revision{0};
-  const auto Deltas =
-      m_Log && m_Catalog ? m_State.deltasSince(Before) : std::nullopt;
-  if (Deltas && Deltas->size() == 1 && m_State.revision() == Rev)
-    m_Catalog =
-        updateCatalog(*m_Catalog, m_Source.document(), *Deltas->front());
-  else
-    m_Catalog = buildCatalog(Rev, m_Source.document());
+  // Services that did not change stay the same objects, so that open queries on
+  // them can go on asking other replicas.
+  const bool Follows = m_Catalog && !Changes.empty() &&
+                       Changes.front().m_Base <= m_Catalog->m_Revision;
+  m_Catalog =
+      Follows ? updateCatalog(*m_Catalog, m_Source.document(),
+                              mergeDeltas(Changes, Rev, m_Source.document()))
+              : buildCatalog(Rev, m_Source.document());
   logEvent(LogSeverity::Info, "config.in_force",
            {{"revision", Rev}, {"services", m_Catalog->m_Services.size()}});
   m_Grants.setCatalog(m_Catalog);
--- a/src/ragwortdrift/node/control_node.cpp
+++ b/src/ragwortdrift/node/control_node.cpp
@@ -102,8 +102,9 @@
           [this](const VmId &Parent, std::string Bytes) {
             pull(Parent, std::move(Bytes));
           },
-          [this](Revision, const Document &, const std::vector<Delta> &) {
-            takeConfiguration();
+          [this](Revision, const Document &,
+                 const std::vector<Delta> &Changes) {
+            takeConfiguration(Changes);
           }),
       m_Members(m_Timers, engineFor(Of, Started, 1), entryOf(Of, Started),
                 Of.m_Seeds,
