Do not give up a group before the deadline for want of a token

A connection that could not be opened was charged to the budget although no leaf had received anything. Change: such a group is asked again when the budget has a token; failed connections are not charged.

--- a/src/ragwortdrift/node/query_engine_test.cpp
+++ b/src/ragwortdrift/node/query_engine_test.cpp
@@ -239,6 +239,27 @@
   cr_assert_not(Why.m_NotRun);
 }
 
+// Guards against a group that is given up before the deadline because the
+// budget had no token when its replica failed.
+Test(query_engine, asks_again_when_the_budget_has_a_token) {
+  Fixture Setup(viewOf("fanout", 1));
+  Setup.start({});
+  cr_assert_eq(Setup.m_Relays.size(), 1U);
+  Setup.m_Relays[0]->m_Answer(refused(0, RelayStatus::MayHaveRun));
+  Setup.advance(50ms);
+  cr_assert_eq(Setup.m_Relays.size(), 1U);
+  cr_assert(Setup.m_Outcomes.empty());
+  // Each first request earns a twentieth of a token.
+  for (int Query = 0; Query < 25; ++Query) {
+    const std::size_t From = Setup.m_Relays.size();
+    Setup.start({});
+    answerAll(Setup, From, 7, "other");
+  }
+  const std::size_t Before = Setup.m_Relays.size();
+  Setup.advance(50ms);
+  cr_assert_eq(Setup.m_Relays.size(), Before + 1);
+}
+
 // Guards against queries that wait for their deadline because the owner of some
 // of their leafs fell silent, and against more than one failover a group.
 Test(query_engine, asks_other_owners_when_one_falls_silent) {
--- a/src/ragwortdrift/node/query_run.cpp
+++ b/src/ragwortdrift/node/query_run.cpp
@@ -46,8 +46,7 @@
 
 /// Whether another try costs an upstream a second request.
 bool costsLeafRequest(RelayStatus Status) {
-  return Status == RelayStatus::MayHaveRun || Status == RelayStatus::Shed ||
-         Status == RelayStatus::ConnectFailed;
+  return Status == RelayStatus::MayHaveRun || Status == RelayStatus::Shed;
 }
 
 } // namespace
@@ -337,11 +336,11 @@
       return;
     }
   }
-  if (Costs && !booking())
-    return;
-  // Every replica refused without running it: ask again when one may have room.
+  // Ask again when a replica may have room, or the budget a token. Until the
+  // deadline a group is not given up.
   const Duration Wait = Answer.m_RetryAfter.value_or(DefaultRetryWait);
   State.m_WaitsForRetry = true;
+  State.m_RetryCosts = Costs && !booking();
   State.m_RetryAt = now() + std::max<Duration>(Wait, TickInterval);
   if (State.m_RetryAt >= m_Deadline)
     State.m_WaitsForRetry = false;
@@ -405,6 +404,10 @@
     GroupState &State = m_Groups[Group];
     if (!State.m_WaitsForRetry || State.m_RetryAt > now())
       continue;
+    if (State.m_RetryCosts && !m_Routing.m_Budget.tryTake()) {
+      State.m_RetryAt = now() + DefaultRetryWait;
+      continue;
+    }
     State.m_WaitsForRetry = false;
     State.m_Tried.clear();
     tryGroup(Group, Next);
--- a/src/ragwortdrift/node/query_run.hpp
+++ b/src/ragwortdrift/node/query_run.hpp
@@ -60,6 +60,8 @@
     bool m_Hedged = false;
     bool m_FailedOver = false;
     bool m_WaitsForRetry = false;
+    /// The next try is charged to the hedge budget.
+    bool m_RetryCosts = false;
     TimePoint m_RetryAt;
   };
   /// Leaf requests that leave together, by partition.
