Return the requests of ended queries to the owner watch

Cause: a query that ended with open requests left them counted as open at their owner, so that after some time a single slow leaf made its owner look silent. Change: an ended query abandons its open attempts as a hedge's winner does. Two view fields that nothing set or read are gone. The new test fails without the change.

--- a/include/ragwortdrift/node/control_view.hpp
+++ b/include/ragwortdrift/node/control_view.hpp
@@ -6,7 +6,6 @@
 
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 namespace ragwortdrift {
@@ -23,9 +22,6 @@
   std::map<std::string, TimePoint> m_Leases;
   /// The configuration counts as fresh until then.
   TimePoint m_FreshUntil;
-  /// VMs that are dead or leaving and receive no new relays.
-  std::set<VmId> m_Unavailable;
-  bool m_Stopping = false;
 };
 
 } // namespace ragwortdrift
--- a/src/ragwortdrift/node/control_config.cpp
+++ b/src/ragwortdrift/node/control_config.cpp
@@ -245,7 +245,6 @@
     }
   if (const auto Age = m_Source.age())
     View->m_FreshUntil = m_Timers.now() + StaleAfter - *Age;
-  View->m_Stopping = m_Stopping;
   const std::shared_ptr<const ControlView> Published = std::move(View);
   for (TrafficThread *Each : m_Traffic)
     Each->post(Published);
--- a/src/ragwortdrift/node/query_engine.cpp
+++ b/src/ragwortdrift/node/query_engine.cpp
@@ -31,8 +31,7 @@
 
 void QueryEngine::update(std::shared_ptr<const ControlView> View) {
   const bool NewCatalog = !m_View || m_View->m_Catalog != View->m_Catalog;
-  const bool NewOwners = !m_View || m_View->m_Owners != View->m_Owners ||
-                         m_View->m_Unavailable != View->m_Unavailable;
+  const bool NewOwners = !m_View || m_View->m_Owners != View->m_Owners;
   m_View = std::move(View);
   if (!m_View->m_Catalog)
     return;
--- a/src/ragwortdrift/node/query_engine_test.cpp
+++ b/src/ragwortdrift/node/query_engine_test.cpp
@@ -260,6 +260,21 @@
   cr_assert_eq(Setup.m_Relays.size(), Before + 1);
 }
 
+// Guards against requests of ended queries that stay counted as open: a single
+// slow leaf would then make its owner look silent.
+Test(query_engine, forgets_the_requests_of_ended_queries) {
+  Fixture Setup(viewOf("fanout", GroupCount));
+  for (int Query = 0; Query < 10; ++Query) {
+    auto Handle = Setup.start({});
+    Handle.cancel();
+  }
+  Setup.start({});
+  answerAll(Setup, Setup.m_Relays.size() - 1, 7, "part");
+  Setup.m_Relays.clear();
+  Setup.advance(100ms);
+  cr_assert_eq(Setup.m_Engine.counts().m_Failovers, 0U);
+}
+
 // Guards against queries that wait for their deadline because the owner of some
 // of their leafs fell silent, and against more than one failover a group.
 Test(query_engine, asks_other_owners_when_one_falls_silent) {
--- a/src/ragwortdrift/node/query_run.cpp
+++ b/src/ragwortdrift/node/query_run.cpp
@@ -242,6 +242,12 @@
   --m_Groups[Of.m_Group].m_OpenAttempts;
 }
 
+void QueryRun::abandon(Attempt &Of) {
+  close(Of, false);
+  if (const auto Index = currentIndex(Of.m_Leaf))
+    m_Routing.m_Replicas.onCancelled(now(), *Index, now() - Of.m_Sent);
+}
+
 void QueryRun::learn(const Attempt &Of, const RelayAnswer &Answer) {
   const TimePoint Now = now();
   const Duration Latency = Now - Of.m_Sent;
@@ -294,9 +300,7 @@
     Attempt &Of = m_Attempts[Item];
     if (!Of.m_Open || Of.m_Group != Group)
       continue;
-    close(Of, false);
-    if (const auto Index = currentIndex(Of.m_Leaf))
-      m_Routing.m_Replicas.onCancelled(now(), *Index, now() - Of.m_Sent);
+    abandon(Of);
     if (const auto &Cancel = m_Relays[Of.m_Relay].m_CancelItem)
       Cancel(Item);
   }
@@ -552,9 +556,8 @@
   m_DeadlineTimer.reset();
   m_Tick.reset();
   for (Attempt &Of : m_Attempts)
-    if (std::exchange(Of.m_Open, false))
-      if (const auto Index = currentIndex(Of.m_Leaf))
-        m_Routing.m_Replicas.onCancelled(now(), *Index, now() - Of.m_Sent);
+    if (Of.m_Open)
+      abandon(Of);
   m_Relays.clear();
   if (!booking())
     m_Routing.m_Admission.leave(now(), now() - m_Started, Load);
--- a/src/ragwortdrift/node/query_run.hpp
+++ b/src/ragwortdrift/node/query_run.hpp
@@ -93,6 +93,8 @@
   bool followOwner(const Attempt &Of, const RelayAnswer &Answer);
   /// Ends an attempt; Heard says whether its owner answered.
   void close(Attempt &Of, bool Heard);
+  /// Ends an attempt whose answer is no longer wanted.
+  void abandon(Attempt &Of);
   void cancelOthers(GroupIndex Group);
   void checkProgress();
   bool waiting() const;
