Serve the users' platform by direct requests to leafs: routing, dispatch, fleet and adapter

Cause: the product could not run on the users' platform: it lacked routes, weighted services, merge of the greatest records, a list of leafs that changes and versions given from outside.

Change: module routing (checked route configuration, route table, replicated state of orders), module dispatch (leaf directory, kept connections, one run for each request: hedge, repeat within the budget, cut of a search near its objective), module fleet (core VM: replicated log, joining voters, watch streams, one reader of the list; entry VM: control and traffic side). platform/ translates names, JSON, operators' calls and settings (INI by the platform's template). Timers wake a thread only when one is due. A stop no longer closes a connection whose request has arrived.

--- a/include/ragwortdrift/base/asio_timer_driver.hpp
+++ b/include/ragwortdrift/base/asio_timer_driver.hpp
@@ -8,21 +8,26 @@
 
 namespace ragwortdrift {
 
-/// Advances a TimerService with the steady clock, once a millisecond, on the
-/// thread that runs the io_context. The service's time is brought up to date by
-/// refresh(), which network handlers call before they use now().
+/// Advances a TimerService with the steady clock on the thread that runs the
+/// io_context. It wakes up only when a timer is due, and the service's now() is
+/// the current time. refresh() runs what is due at once.
 class AsioTimerDriver {
 public:
   AsioTimerDriver(boost::asio::io_context &Io, TimerService &Timers);
+  ~AsioTimerDriver();
+  AsioTimerDriver(const AsioTimerDriver &) = delete;
+  AsioTimerDriver &operator=(const AsioTimerDriver &) = delete;
   void start();
   void stop() { m_Timer.cancel(); }
   void refresh();
 
 private:
-  void tick();
+  void arm(TimePoint Due);
+  void armNext();
 
   TimerService &m_Timers;
   boost::asio::steady_timer m_Timer;
+  bool m_Started = false;
 };
 
 /// Wall-clock time, for values that leave the process or are written into the
--- a/include/ragwortdrift/base/timer_service.hpp
+++ b/include/ragwortdrift/base/timer_service.hpp
@@ -3,6 +3,7 @@
 
 #include "ragwortdrift/base/time.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -31,7 +32,16 @@
     std::shared_ptr<Callback> m_Callback;
   };
 
-  TimePoint now() const { return m_Now; }
+  TimePoint now() const { return m_Clock ? std::max(m_Now, m_Clock()) : m_Now; }
+  /// Reads the time from Clock instead of the last advanceTo().
+  void setClock(std::function<TimePoint()> Clock) {
+    m_Clock = std::move(Clock);
+  }
+  /// Calls back with the due time of each new timer that is due before all
+  /// others.
+  void onEarlierTimer(std::function<void(TimePoint)> Fn) {
+    m_OnEarlierTimer = std::move(Fn);
+  }
 
   /// Calls back once, when Delay has passed.
   [[nodiscard]] Subscription after(Duration Delay, Callback Fn);
@@ -39,8 +49,9 @@
   /// positive.
   [[nodiscard]] Subscription every(Duration Period, Callback Fn);
 
-  /// When the next timer is due; nothing when there is none.
-  std::optional<TimePoint> nextDue() const;
+  /// When the next timer is due; nothing when there is none. Forgets cancelled
+  /// timers that are due before it.
+  std::optional<TimePoint> nextDue();
   /// Runs all timers due until To in order of their due time; now() is each
   /// timer's due time while it runs.
   void advanceTo(TimePoint To);
@@ -54,6 +65,8 @@
   Subscription subscribe(Duration Delay, Duration Period, Callback Fn);
 
   TimePoint m_Now;
+  std::function<TimePoint()> m_Clock;
+  std::function<void(TimePoint)> m_OnEarlierTimer;
   std::multimap<TimePoint, Entry> m_Timers;
 };
 
--- /dev/null
+++ b/include/ragwortdrift/dispatch/dispatcher.hpp
@@ -0,0 +1,109 @@
+#ifndef RAGWORTDRIFT_DISPATCH_DISPATCHER_HPP
+#define RAGWORTDRIFT_DISPATCH_DISPATCHER_HPP
+
+#include "ragwortdrift/base/log.hpp"
+#include "ragwortdrift/base/metrics.hpp"
+#include "ragwortdrift/dispatch/leaf_pool.hpp"
+#include "ragwortdrift/dispatch/leaf_protocol.hpp"
+#include "ragwortdrift/dispatch/leaf_view.hpp"
+#include "ragwortdrift/policy/hedge.hpp"
+#include "ragwortdrift/routing/route_table.hpp"
+
+namespace ragwortdrift {
+
+struct DispatchOptions {
+  /// The failure domain of this VM.
+  FailureDomain m_Domain;
+  /// Repeats that all VMs together may send to a service: this share of its
+  /// requests, and m_RepeatSlack in m_RepeatWindow.
+  double m_RepeatRatio = 0.2;
+  double m_RepeatSlack = 50;
+  /// Requests in work above which new ones are refused.
+  std::size_t m_MaxInFlight = 400;
+  /// Time of an answer from here to its caller.
+  Duration m_CallerDelay = std::chrono::milliseconds(3);
+  /// How long the list of leafs may lag.
+  Duration m_ListLag = std::chrono::milliseconds(800);
+};
+
+class RequestRun;
+
+/// What a dispatcher knows of one route beside its configuration.
+struct RouteStats {
+  /// Latency of leafs' answers.
+  LatencyWindow m_Latency;
+  WeightedTurn m_Turn;
+  /// The longest time that callers of the route gave, which is that of a first
+  /// attempt; a later attempt has less.
+  Duration m_LongestWait{0};
+};
+
+/// Sends callers' requests directly to leafs: picks leafs, repeats what may be
+/// repeated within the budget, merges the answers of shards and decides when an
+/// answer is due. Used on one thread.
+class Dispatcher {
+public:
+  using AnswerFn = std::function<void(HttpResponse)>;
+
+  Dispatcher(TimerService &Timers, LeafTransport &Transport,
+             LeafProtocol Protocol, DispatchOptions Options,
+             std::uint64_t Seed);
+  ~Dispatcher();
+  Dispatcher(const Dispatcher &) = delete;
+  Dispatcher &operator=(const Dispatcher &) = delete;
+
+  /// Puts a configuration in force for requests that arrive from now on.
+  void setRoutes(std::shared_ptr<const RouteTable> Routes);
+  void setLeafs(const LeafList &List);
+  void setDomainsOut(const std::set<FailureDomain> &Out);
+  /// How many entry VMs share the budgets of repeats.
+  void setEntryCount(std::size_t Count);
+  /// A leaf ended an idle connection early: it may have been restarted.
+  void onIdleEnd(const LeafId &Id);
+
+  /// Handles one request. The answer comes once, maybe within the call, unless
+  /// the run is cancelled.
+  std::shared_ptr<RequestRun> dispatch(const HttpRequest &Request,
+                                       AnswerFn Answer);
+
+  bool ready() const { return m_Routes && !m_Leafs.empty(); }
+  std::size_t inFlight() const { return m_InFlight; }
+  MetricsRegistry &metrics() { return m_Metrics; }
+  /// Logs how many decisions were left out. Called once a second.
+  void flushLog() { m_Log.flush(); }
+
+private:
+  friend class RequestRun;
+
+  HedgeBudget &budget(const ServiceName &Service);
+  RouteStats &stats(const Route &Of) { return m_Stats[Of.m_Name]; }
+  void verify(const std::shared_ptr<LeafView> &View, std::string_view Cause,
+              Duration FirstDelay);
+  void probe(const std::shared_ptr<LeafView> &View, Duration RetryDelay);
+  void onProbe(const std::shared_ptr<LeafView> &View, Duration RetryDelay,
+               const Result<HttpResponse, HttpError> &Outcome);
+  double burst() const;
+
+  TimerService &m_Timers;
+  LeafTransport &m_Transport;
+  LeafProtocol m_Protocol;
+  DispatchOptions m_Options;
+  std::mt19937_64 m_Engine;
+  std::shared_ptr<const RouteTable> m_Routes;
+  LeafDirectory m_Leafs;
+  std::map<ServiceName, HedgeBudget> m_Budgets;
+  std::map<std::string, RouteStats> m_Stats;
+  std::map<LeafId, TimerService::Subscription> m_Probes;
+  std::size_t m_EntryCount = 1;
+  std::size_t m_InFlight = 0;
+  MetricsRegistry m_Metrics;
+  DecisionLog m_Log;
+  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
+};
+
+/// A refusal that promises that the request did not run.
+HttpResponse notRunResponse(std::string_view Reason);
+
+} // namespace ragwortdrift
+
+#endif
--- /dev/null
+++ b/include/ragwortdrift/fleet/core_node.hpp
@@ -0,0 +1,118 @@
+#ifndef RAGWORTDRIFT_FLEET_CORE_NODE_HPP
+#define RAGWORTDRIFT_FLEET_CORE_NODE_HPP
+
+#include "ragwortdrift/base/asio_timer_driver.hpp"
+#include "ragwortdrift/base/metrics.hpp"
+#include "ragwortdrift/consensus/replicated_log.hpp"
+#include "ragwortdrift/fleet/fleet_settings.hpp"
+#include "ragwortdrift/fleet/leaf_list_reader.hpp"
+#include "ragwortdrift/fleet/messages.hpp"
+#include "ragwortdrift/net/peer_client.hpp"
+#include "ragwortdrift/net/peer_server.hpp"
+
+namespace ragwortdrift {
+
+/// A core VM: one replica of the operators' state. The leader commits orders,
+/// confirms reads, admits new core VMs as voters and reads the list of leafs
+/// for all entry VMs. Every core VM tells its watchers what it has applied.
+/// Used on the thread of its io_context.
+class CoreNode {
+public:
+  using OrderCallback = std::function<void(Result<OrderOutcome, CoreError>)>;
+  using ReadCallback = std::function<void(Result<RoutingState, CoreError>)>;
+  using StartError = std::variant<StoreError, NetError>;
+
+  CoreNode(boost::asio::io_context &Io, FleetSettings Settings,
+           LeafListFormat Format);
+  ~CoreNode();
+  CoreNode(const CoreNode &) = delete;
+  CoreNode &operator=(const CoreNode &) = delete;
+
+  Result<Done, StartError> start();
+  /// Commits an order, through the leader. The outcome says that it is durable
+  /// on a majority of the voters.
+  void submit(RoutingOrder Order, OrderCallback Fn);
+  /// The newest state, confirmed by a majority after the call.
+  void read(ReadCallback Fn);
+  /// Other core VMs to find the cluster by.
+  void setCores(std::vector<Endpoint> Cores);
+  /// Hands leadership over before a stop.
+  void beginStop();
+  MetricsSnapshot metrics();
+
+private:
+  struct Watcher {
+    VmId m_Vm;
+    std::shared_ptr<ResponseStream> m_Stream;
+    std::uint64_t m_SentRevision = 0;
+  };
+  using Stream = std::shared_ptr<ResponseStream>;
+
+  // The replicated log.
+  Result<Done, StoreError> openLog();
+  /// Whether this VM is one of those that form a new cluster.
+  bool isFounder() const;
+  void checkStore();
+  void onApplied(LogIndex Index, const std::string &Payload);
+  void onRestored(const std::string &Bytes);
+  void sendOneWay(const std::string &Address, const char *Path,
+                  std::string Bytes);
+  bool isLeader() const;
+  std::string leaderAddress() const;
+
+  // Orders and reads.
+  void commit(const RoutingOrder &Order, OrderCallback Fn);
+  void confirm(ReadCallback Fn);
+  template <class Reply, class Value>
+  void forward(const char *Path, std::string Bytes, unsigned TriesLeft,
+               std::function<void(Result<Value, CoreError>)> Fn);
+  std::string forwardTarget();
+  void handlePeers();
+
+  // Voters.
+  void checkMembership();
+  void join();
+  void onJoin(const VmId &From, const JoinRequest &Request, const Stream &Out);
+  void removeSilentVoter(const ReplicatedLogStatus &Status);
+  std::vector<std::string> knownCores() const;
+
+  // Watchers.
+  void onWatch(const PeerRequest &Request, const Stream &Out);
+  void report(Watcher &To, bool WithLeafs);
+  void reportAll(bool WithLeafs);
+  std::uint32_t entryCount();
+  void readLeafs();
+  bool listIsFresh() const;
+
+  boost::asio::io_context &m_Io;
+  FleetSettings m_Settings;
+  std::string m_Address;
+  TimerService m_Timers;
+  AsioTimerDriver m_Driver;
+  PeerServer m_PeerServer;
+  PeerClient m_PeerClient;
+  LeafListReader m_List;
+  std::unique_ptr<ReplicatedLog> m_Log;
+  RoutingState m_State;
+  std::map<LogIndex, OrderOutcome> m_Outcomes;
+  std::map<VmId, TimePoint> m_HeardFrom;
+  std::set<std::string> m_OtherCores;
+  std::string m_LeaderHint;
+  std::size_t m_NextCore = 0;
+  TimePoint m_LeaderSeenAt;
+  bool m_Leads = false;
+  bool m_ChangingVoters = false;
+  bool m_Stopping = false;
+  std::map<std::uint64_t, Watcher> m_Watchers;
+  std::uint64_t m_NextWatcher = 0;
+  std::map<VmId, TimePoint> m_Entries;
+  LeafList m_Leafs;
+  std::optional<TimePoint> m_ListReadAt;
+  MetricsRegistry m_Metrics;
+  std::vector<TimerService::Subscription> m_Periodic;
+  TimerService::Subscription m_ListTimer;
+};
+
+} // namespace ragwortdrift
+
+#endif
--- a/include/ragwortdrift/net/http_client.hpp
+++ b/include/ragwortdrift/net/http_client.hpp
@@ -37,6 +37,9 @@
   void send(HttpRequest Request, Duration Timeout, Callback Fn);
   /// Closes the connection; a pending callback runs with Cancelled.
   void close();
+  /// Calls back once when the other side ends the connection, or sends bytes
+  /// that belong to no answer, while no request is open.
+  void onIdleEnd(std::function<void()> Fn) { m_OnIdleEnd = std::move(Fn); }
   /// True while it can take a request: open, idle and not known to be closed by
   /// the other side.
   bool usable() const { return m_Open && !m_Busy; }
@@ -52,6 +55,7 @@
       m_Parser;
   HttpRequest m_Request;
   Callback m_Callback;
+  std::function<void()> m_OnIdleEnd;
   /// Grows with each request, so that a wait for the end of one idle period
   /// cannot end a later one.
   std::uint64_t m_IdlePeriod = 0;
--- a/include/ragwortdrift/net/http_server.hpp
+++ b/include/ragwortdrift/net/http_server.hpp
@@ -63,6 +63,8 @@
   Result<Done, HttpError> listen(const std::string &Ip, std::uint16_t Port);
   /// The port that is listened on.
   std::uint16_t port() const { return m_Acceptor.local_endpoint().port(); }
+  /// Limits of requests and connections from now on.
+  void setLimits(const HttpLimits &Limits) { m_Limits = Limits; }
   /// From now on each answer says that its connection closes. New connections
   /// are still accepted.
   void announceStop() { m_Stopping = true; }
--- a/include/ragwortdrift/policy/hedge.hpp
+++ b/include/ragwortdrift/policy/hedge.hpp
@@ -4,6 +4,8 @@
 #include "ragwortdrift/policy/latency_window.hpp"
 #include "ragwortdrift/policy/replica_choice.hpp"
 
+#include <algorithm>
+
 namespace ragwortdrift {
 
 /// Token bucket that hedges and retries share. It starts empty, earns Ratio for
@@ -22,6 +24,11 @@
   double level() const { return m_Tokens / m_Burst; }
   double ratio() const { return m_Ratio; }
   void setRatio(double Ratio) { m_Ratio = Ratio; }
+  /// Changes what may be saved up; tokens above it are lost.
+  void setBurst(double Burst) {
+    m_Burst = Burst;
+    m_Tokens = std::min(m_Tokens, Burst);
+  }
 
 private:
   double m_Ratio;
--- a/src/ragwortdrift/base/asio_timer_driver.cpp
+++ b/src/ragwortdrift/base/asio_timer_driver.cpp
@@ -3,28 +3,45 @@
 namespace ragwortdrift {
 
 namespace {
-constexpr std::chrono::milliseconds Resolution{1};
+
+TimePoint steadyNow() {
+  const auto Elapsed = std::chrono::steady_clock::now().time_since_epoch();
+  return TimePoint{std::chrono::duration_cast<Duration>(Elapsed)};
+}
+
 } // namespace
 
 AsioTimerDriver::AsioTimerDriver(boost::asio::io_context &Io,
                                  TimerService &Timers)
     : m_Timers(Timers), m_Timer(Io) {
-  refresh();
+  m_Timers.setClock(&steadyNow);
+  m_Timers.advanceTo(steadyNow());
+  m_Timers.onEarlierTimer([this](TimePoint Due) { arm(Due); });
 }
 
-void AsioTimerDriver::start() { tick(); }
+AsioTimerDriver::~AsioTimerDriver() { m_Timers.onEarlierTimer(nullptr); }
 
-void AsioTimerDriver::refresh() {
-  const auto Elapsed = std::chrono::steady_clock::now().time_since_epoch();
-  m_Timers.advanceTo(TimePoint{std::chrono::duration_cast<Duration>(Elapsed)});
+void AsioTimerDriver::start() {
+  m_Started = true;
+  armNext();
+}
+
+void AsioTimerDriver::refresh() { m_Timers.advanceTo(steadyNow()); }
+
+void AsioTimerDriver::armNext() {
+  if (const auto Due = m_Timers.nextDue())
+    arm(*Due);
 }
 
-void AsioTimerDriver::tick() {
-  refresh();
-  m_Timer.expires_after(Resolution);
+void AsioTimerDriver::arm(TimePoint Due) {
+  if (!m_Started)
+    return;
+  m_Timer.expires_at(std::chrono::steady_clock::time_point(Due.m_SinceStart));
   m_Timer.async_wait([this](const boost::system::error_code &Error) {
-    if (!Error)
-      tick();
+    if (Error)
+      return;
+    refresh();
+    armNext();
   });
 }
 
--- a/src/ragwortdrift/base/timer_service.cpp
+++ b/src/ragwortdrift/base/timer_service.cpp
@@ -8,7 +8,10 @@
 TimerService::subscribe(Duration Delay, Duration Period, Callback Fn) {
   Subscription Result;
   Result.m_Callback = std::make_shared<Callback>(std::move(Fn));
-  m_Timers.emplace(m_Now + Delay, Entry{Result.m_Callback, Period});
+  const auto Added =
+      m_Timers.emplace(now() + Delay, Entry{Result.m_Callback, Period});
+  if (m_OnEarlierTimer && Added == m_Timers.begin())
+    m_OnEarlierTimer(Added->first);
   return Result;
 }
 
@@ -20,7 +23,9 @@
   return subscribe(Period, Period, std::move(Fn));
 }
 
-std::optional<TimePoint> TimerService::nextDue() const {
+std::optional<TimePoint> TimerService::nextDue() {
+  while (!m_Timers.empty() && m_Timers.begin()->second.m_Callback.expired())
+    m_Timers.erase(m_Timers.begin());
   if (m_Timers.empty())
     return std::nullopt;
   return m_Timers.begin()->first;
--- /dev/null
+++ b/src/ragwortdrift/dispatch/leaf_view.cpp
@@ -0,0 +1,173 @@
+#include "ragwortdrift/dispatch/leaf_view.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ragwortdrift {
+
+namespace {
+
+/// Weight of the newest answer in the means. A slow leaf shows in about five
+/// answers.
+constexpr double NewestWeight = 0.2;
+/// Time in which an estimate loses most of its distance to neutral, so that a
+/// leaf that was slow is asked again. Slow phases last several seconds.
+constexpr double FadeSeconds = 3;
+/// Bounds the effect of one answer on the mean.
+constexpr double MaxSlowness = 20;
+/// What a leaf costs, in medians of its route, for each of these.
+constexpr double SilenceSlowness = 10;
+constexpr double FailureCost = 10;
+/// A pausing leaf answers nothing for many medians.
+constexpr double OverdueCost = 20;
+/// Another failure domain costs bytes between domains and a longer way.
+constexpr double OtherDomainCost = 0.4;
+constexpr double QueueCost = 1;
+/// Leafs whose costs differ by less are equally good.
+constexpr double EqualCost = 0.15;
+
+} // namespace
+
+LeafBar LeafView::bar(TimePoint Now) const {
+  if (m_Listed.m_State == ListedState::Draining)
+    return LeafBar::Draining;
+  if (m_DomainOut)
+    return LeafBar::DomainOut;
+  if (!m_Verified)
+    return LeafBar::Unverified;
+  if (Now < m_ColdUntil)
+    return LeafBar::Cold;
+  return LeafBar::None;
+}
+
+bool LeafView::update(const ListedLeaf &Listed, TimePoint Now) {
+  const bool Restarted = Listed.m_StartedAt != m_Listed.m_StartedAt ||
+                         Listed.m_Address != m_Listed.m_Address;
+  m_Listed = Listed;
+  if (Listed.m_ColdFor > Duration{0})
+    setColdFor(Now, Listed.m_ColdFor);
+  return Restarted;
+}
+
+void LeafView::setColdFor(TimePoint Now, Duration Left) {
+  m_ColdUntil = std::max(m_ColdUntil, Now + Left);
+}
+
+void LeafView::onEnded(bool WasOverdue) {
+  --m_Open;
+  if (WasOverdue)
+    --m_Overdue;
+}
+
+double LeafView::faded(TimePoint Now, double Value, double Neutral) const {
+  const double Age = toMillis(Now - m_HeardAt) / 1000;
+  return Neutral + (Value - Neutral) * std::exp(-Age / FadeSeconds);
+}
+
+void LeafView::settle(TimePoint Now) {
+  m_Slowness = faded(Now, m_Slowness, 1);
+  m_Failures = faded(Now, m_Failures, 0);
+  m_HeardAt = Now;
+}
+
+void LeafView::onAnswer(TimePoint Now, double RelativeLatency) {
+  settle(Now);
+  m_Slowness +=
+      NewestWeight * (std::min(RelativeLatency, MaxSlowness) - m_Slowness);
+  m_Failures -= NewestWeight * m_Failures;
+}
+
+void LeafView::onFailure(TimePoint Now) {
+  settle(Now);
+  m_Failures += NewestWeight * (1 - m_Failures);
+}
+
+void LeafView::onSilence(TimePoint Now) {
+  settle(Now);
+  m_Slowness = std::max(m_Slowness, SilenceSlowness);
+}
+
+double LeafView::cost(TimePoint Now, const FailureDomain &Own) const {
+  return faded(Now, m_Slowness, 1) * (1 + m_Open) +
+         FailureCost * faded(Now, m_Failures, 0) + QueueCost * m_Queue +
+         (m_Overdue > 0 ? OverdueCost : 0) +
+         (m_Listed.m_Domain == Own ? 0 : OtherDomainCost);
+}
+
+LeafDirectory::Changed LeafDirectory::setList(const LeafList &List,
+                                              TimePoint Now) {
+  Changed ToVerify;
+  const bool First = m_Leafs.empty();
+  std::map<LeafId, std::shared_ptr<LeafView>> Next;
+  m_Services.clear();
+  for (const ListedLeaf &Listed : List) {
+    std::shared_ptr<LeafView> View;
+    const auto Known = m_Leafs.find(Listed.m_Id);
+    if (Known != m_Leafs.end()) {
+      View = Known->second;
+      if (View->update(Listed, Now))
+        ToVerify.push_back(View);
+    } else {
+      View = std::make_shared<LeafView>(Listed);
+      View->update(Listed, Now);
+      View->setDomainOut(m_DomainsOut.contains(Listed.m_Domain));
+      if (!First)
+        ToVerify.push_back(View);
+    }
+    if (Next.emplace(Listed.m_Id, View).second)
+      m_Services[Listed.m_Service].push_back(View);
+  }
+  for (const auto &[Id, View] : m_Leafs)
+    if (!Next.contains(Id))
+      View->setGone();
+  m_Leafs = std::move(Next);
+  return ToVerify;
+}
+
+LeafDirectory::Changed
+LeafDirectory::setDomainsOut(const std::set<FailureDomain> &Out) {
+  Changed ToVerify;
+  for (const auto &[Id, View] : m_Leafs) {
+    const bool IsOut = Out.contains(View->listed().m_Domain);
+    if (View->domainOut() && !IsOut)
+      ToVerify.push_back(View);
+    View->setDomainOut(IsOut);
+  }
+  m_DomainsOut = Out;
+  return ToVerify;
+}
+
+std::shared_ptr<LeafView>
+LeafDirectory::choose(const ServiceName &Service, TimePoint Now,
+                      const FailureDomain &Own,
+                      const std::vector<std::shared_ptr<LeafView>> &Excluded,
+                      std::mt19937_64 &Engine) const {
+  const auto Leafs = m_Services.find(Service);
+  if (Leafs == m_Services.end())
+    return nullptr;
+  std::shared_ptr<LeafView> Best;
+  double BestCost = 0;
+  std::size_t Equal = 0;
+  for (const auto &View : Leafs->second) {
+    if (View->bar(Now) != LeafBar::None ||
+        std::find(Excluded.begin(), Excluded.end(), View) != Excluded.end())
+      continue;
+    const double Cost = View->cost(Now, Own);
+    if (!Best || Cost < BestCost - EqualCost) {
+      Best = View;
+      BestCost = Cost;
+      Equal = 1;
+    } else if (Cost < BestCost + EqualCost && Engine() % ++Equal == 0) {
+      Best = View;
+      BestCost = std::min(BestCost, Cost);
+    }
+  }
+  return Best;
+}
+
+std::shared_ptr<LeafView> LeafDirectory::find(const LeafId &Id) const {
+  const auto Found = m_Leafs.find(Id);
+  return Found == m_Leafs.end() ? nullptr : Found->second;
+}
+
+} // namespace ragwortdrift
--- /dev/null
+++ b/src/ragwortdrift/fleet/core_members.cpp
@@ -0,0 +1,243 @@
+#include "ragwortdrift/base/log.hpp"
+#include "ragwortdrift/fleet/core_node.hpp"
+
+#include <algorithm>
+
+namespace ragwortdrift {
+
+namespace {
+
+/// Voters beyond this only make each commit wait for more disks; five bear the
+/// loss of two.
+constexpr std::size_t MaxVoters = 5;
+/// Fewer voters would not bear the loss of one.
+constexpr std::size_t MinVoters = 3;
+/// A voter that is silent for this long while more than MinVoters vote is
+/// removed. Cuts and restarts are shorter; a VM that returns joins again.
+constexpr std::chrono::seconds SilentVoterLimit{12};
+/// Without news of a leader for this long a core VM asks to join.
+constexpr std::chrono::seconds NoLeaderLimit{2};
+constexpr std::chrono::milliseconds JoinTimeout{800};
+/// An entry VM counts for this long after it was last seen, so that shares of
+/// common budgets do not grow while VMs restart.
+constexpr std::chrono::seconds EntryMemory{30};
+/// Time between reads of the list of leafs. A leaving leaf must get no request
+/// 3 s after the list shows it.
+constexpr std::chrono::milliseconds ListInterval{1000};
+/// Share of the list's rate that its one regular reader may use.
+constexpr double ListRateShare = 0.4;
+constexpr std::chrono::milliseconds ListFreshFor{2500};
+
+const Member *findVoter(const ReplicatedLogStatus &Status, const VmId &Vm) {
+  for (const Member &Each : Status.m_Voters)
+    if (Each.m_Key.m_Vm == Vm)
+      return &Each;
+  return nullptr;
+}
+
+} // namespace
+
+std::vector<std::string> CoreNode::knownCores() const {
+  std::set<std::string> Known = m_OtherCores;
+  if (m_Log) {
+    const ReplicatedLogStatus Status = m_Log->status();
+    for (const auto *Members : {&Status.m_Voters, &Status.m_Learners})
+      for (const Member &Each : *Members)
+        Known.insert(Each.m_Address);
+  }
+  Known.erase(m_Address);
+  return {Known.begin(), Known.end()};
+}
+
+void CoreNode::checkMembership() {
+  if (!m_Log || m_Stopping)
+    return;
+  const ReplicatedLogStatus Status = m_Log->status();
+  if (std::exchange(m_Leads, Status.m_Role == RaftRole::Leader) != m_Leads) {
+    logEvent(LogSeverity::Info, "log.role",
+             {{"role", Status.m_Role}, {"term", Status.m_Term}});
+    // Followers hear only their leader, so a new one knows of no silence.
+    m_HeardFrom.clear();
+  }
+  if (m_Leads) {
+    m_LeaderSeenAt = m_Timers.now();
+    removeSilentVoter(Status);
+    return;
+  }
+  if (Status.m_Leader)
+    m_LeaderSeenAt = m_Timers.now();
+  const bool Votes = findVoter(Status, VmId{m_Address}) != nullptr;
+  const bool Forming = isFounder() && Status.m_LastIndex == 0;
+  if ((!Votes && !Forming) || m_Timers.now() - m_LeaderSeenAt > NoLeaderLimit)
+    join();
+}
+
+void CoreNode::join() {
+  const std::string Bytes =
+      encode(JoinRequest{m_Address, m_Log->status().m_StoreId});
+  for (const std::string &Core : knownCores()) {
+    const auto To = parseEndpoint(Core);
+    if (!To)
+      continue;
+    auto Call = std::make_shared<PeerCall>();
+    *Call = m_PeerClient.open(
+        To->m_Ip, To->m_Port, "/join", Bytes, JoinTimeout,
+        [this](const std::string &Message) {
+          const auto Reply = decode<JoinReply>(Message);
+          if (!isOk(Reply))
+            return;
+          if (!valueOf(Reply).m_Leader.empty())
+            m_LeaderHint = valueOf(Reply).m_Leader;
+          for (const std::string &Other : valueOf(Reply).m_Cores)
+            if (Other != m_Address)
+              m_OtherCores.insert(Other);
+        },
+        [Call](const Result<Done, PeerError> &) mutable { Call.reset(); });
+  }
+}
+
+void CoreNode::onJoin(const VmId &From, const JoinRequest &Request,
+                      const Stream &Out) {
+  JoinReply Reply{leaderAddress(), knownCores()};
+  Reply.m_Cores.push_back(m_Address);
+  Out->send(encode(Reply));
+  Out->finish();
+  m_OtherCores.insert(Request.m_Address);
+  if (!isLeader() || m_ChangingVoters || m_Stopping)
+    return;
+  const ReplicatedLogStatus Status = m_Log->status();
+  const Member *Known = findVoter(Status, From);
+  if (Known ? Known->m_Key.m_Store == Request.m_Store
+            : Status.m_Voters.size() >= MaxVoters)
+    return;
+  logEvent(LogSeverity::Info, "voter.adding",
+           {{"vm", From},
+            {"store", Request.m_Store},
+            {"replaces_store", Known != nullptr},
+            {"voters", Status.m_Voters.size()}});
+  m_ChangingVoters = true;
+  m_HeardFrom[From] = m_Timers.now();
+  m_Log->addVoter(
+      From, Request.m_Address,
+      [this, From](const Result<Done, MembershipError> &Added) {
+        m_ChangingVoters = false;
+        logEvent(isOk(Added) ? LogSeverity::Info : LogSeverity::Warning,
+                 "voter.added",
+                 {{"vm", From},
+                  {"error", isOk(Added) ? std::string_view("none")
+                                        : nameOf(errorOf(Added).m_Code)}});
+      });
+}
+
+void CoreNode::removeSilentVoter(const ReplicatedLogStatus &Status) {
+  std::size_t Silent = 0;
+  const Member *Longest = nullptr;
+  for (const Member &Each : Status.m_Voters) {
+    if (Each.m_Key.m_Vm.m_Value == m_Address)
+      continue;
+    const auto Heard =
+        m_HeardFrom.try_emplace(Each.m_Key.m_Vm, m_Timers.now()).first;
+    if (m_Timers.now() - Heard->second < SilentVoterLimit)
+      continue;
+    ++Silent;
+    Longest = &Each;
+  }
+  if (Silent != 1 || m_ChangingVoters || Status.m_Voters.size() <= MinVoters)
+    return;
+  const VmId Vm = Longest->m_Key.m_Vm;
+  logEvent(LogSeverity::Warning, "voter.removing",
+           {{"vm", Vm}, {"voters", Status.m_Voters.size()}});
+  m_ChangingVoters = true;
+  m_OtherCores.erase(Longest->m_Address);
+  m_Log->removeVoter(Vm, [this, Vm](const Result<Done, MembershipError> &Out) {
+    m_ChangingVoters = false;
+    logEvent(LogSeverity::Info, "voter.removed",
+             {{"vm", Vm}, {"done", isOk(Out)}});
+  });
+}
+
+void CoreNode::onWatch(const PeerRequest &In, const Stream &Out) {
+  const auto Request = decode<WatchRequest>(In.m_Body);
+  if (!isOk(Request)) {
+    Out->finish();
+    return;
+  }
+  std::erase_if(m_Watchers, [&](const auto &Entry) {
+    return Entry.second.m_Vm == In.m_From;
+  });
+  const std::uint64_t Id = m_NextWatcher++;
+  Watcher &Added = m_Watchers[Id];
+  Added = {In.m_From, Out, valueOf(Request).m_Revision};
+  m_Entries[In.m_From] = m_Timers.now();
+  Out->onCancel([this, Id] { m_Watchers.erase(Id); });
+  report(Added, !m_Leafs.empty() && listIsFresh());
+}
+
+void CoreNode::report(Watcher &To, bool WithLeafs) {
+  CoreReport Out;
+  if (m_State.m_Revision > To.m_SentRevision) {
+    Out.m_State = m_State;
+    To.m_SentRevision = m_State.m_Revision;
+  }
+  if (WithLeafs)
+    Out.m_Leafs = m_Leafs;
+  Out.m_Cores = knownCores();
+  Out.m_Cores.push_back(m_Address);
+  Out.m_EntryCount = entryCount();
+  Out.m_ReadsList = listIsFresh();
+  const auto Stream = To.m_Stream;
+  Stream->send(encode(Out));
+}
+
+void CoreNode::reportAll(bool WithLeafs) {
+  // A report that cannot be sent may end its watcher.
+  std::vector<std::uint64_t> Ids;
+  for (const auto &[Id, Each] : m_Watchers)
+    Ids.push_back(Id);
+  for (const std::uint64_t Id : Ids) {
+    const auto Found = m_Watchers.find(Id);
+    if (Found == m_Watchers.end())
+      continue;
+    m_Entries[Found->second.m_Vm] = m_Timers.now();
+    report(Found->second, WithLeafs);
+  }
+}
+
+std::uint32_t CoreNode::entryCount() {
+  std::erase_if(m_Entries, [&](const auto &Entry) {
+    return m_Timers.now() - Entry.second > EntryMemory;
+  });
+  return static_cast<std::uint32_t>(m_Entries.size());
+}
+
+bool CoreNode::listIsFresh() const {
+  return isLeader() && m_ListReadAt &&
+         m_Timers.now() - *m_ListReadAt < ListFreshFor;
+}
+
+void CoreNode::readLeafs() {
+  const std::uint64_t CallsBefore = m_List.calls();
+  const auto Again = [this, CallsBefore] {
+    const double Calls = static_cast<double>(m_List.calls() - CallsBefore);
+    const Duration ByRate(static_cast<Duration::rep>(
+        1e6 * Calls / (m_Settings.m_LeafListRate * ListRateShare)));
+    m_ListTimer = m_Timers.after(std::max<Duration>(ListInterval, ByRate),
+                                 [this] { readLeafs(); });
+  };
+  if (!isLeader()) {
+    Again();
+    return;
+  }
+  m_List.read([this, Again](Result<LeafList, ListError> Outcome) {
+    if (isOk(Outcome)) {
+      const bool Changed = !m_ListReadAt || valueOf(Outcome) != m_Leafs;
+      m_Leafs = valueOf(std::move(Outcome));
+      m_ListReadAt = m_Timers.now();
+      if (Changed)
+        reportAll(true);
+    }
+    Again();
+  });
+}
+
+} // namespace ragwortdrift
--- /dev/null
+++ b/src/ragwortdrift/fleet/entry_control.cpp
@@ -0,0 +1,173 @@
+#include "ragwortdrift/fleet/entry_control.hpp"
+
+#include "ragwortdrift/base/log.hpp"
+
+#include <algorithm>
+
+namespace ragwortdrift {
+
+namespace {
+
+/// Core VMs that are watched at once. Each may be the only one that is not cut
+/// off, and there are few.
+constexpr std::size_t MaxWatches = 5;
+constexpr std::chrono::milliseconds WatchRetry{250};
+/// A watch is opened anew after this, since a call needs a deadline.
+constexpr std::chrono::hours WatchTime{1};
+constexpr std::chrono::milliseconds ListCheckInterval{500};
+/// Without news of the list for this long an entry VM reads it itself. Core
+/// VMs report every 500 ms, and elect a new leader within a second.
+constexpr std::chrono::milliseconds ListSilence{2500};
+constexpr std::chrono::milliseconds OwnListInterval{1000};
+/// Share of the list's rate for all entry VMs that read it themselves.
+constexpr double OwnListRateShare = 0.5;
+
+} // namespace
+
+EntryControl::EntryControl(boost::asio::io_context &Io, FleetSettings Settings,
+                           LeafListFormat Format, RouteConfigReader Reader,
+                           EntryUpdates Updates)
+    : m_Settings(std::move(Settings)), m_Driver(Io, m_Timers),
+      m_PeerClient(Io, m_Timers, m_Settings.m_Key, m_Settings.m_Vm),
+      m_List(Io, m_Settings.m_LeafList, std::move(Format)),
+      m_Reader(std::move(Reader)), m_Updates(std::move(Updates)) {}
+
+EntryControl::~EntryControl() = default;
+
+void EntryControl::start() {
+  m_Driver.start();
+  m_ListHeardAt = m_Timers.now();
+  m_ListAskedAt = m_Timers.now();
+  setCores(m_Settings.m_Cores);
+  m_Periodic.push_back(
+      m_Timers.every(ListCheckInterval, [this] { checkList(); }));
+}
+
+void EntryControl::setCores(const std::vector<Endpoint> &Cores) {
+  for (const Endpoint &Core : Cores)
+    m_Cores.insert(formatEndpoint(Core));
+  watchMore();
+}
+
+void EntryControl::watchMore() {
+  for (const std::string &Core : m_Cores) {
+    if (m_Watches.contains(Core))
+      continue;
+    if (m_Watches.size() >= MaxWatches) {
+      // A core VM that does not answer makes room for another one.
+      const auto Dead =
+          std::find_if(m_Watches.begin(), m_Watches.end(),
+                       [](const auto &W) { return !W.second.m_Connected; });
+      if (Dead == m_Watches.end())
+        return;
+      m_Cores.erase(Dead->first);
+      m_Watches.erase(Dead);
+      watchMore();
+      return;
+    }
+    openWatch(Core);
+  }
+}
+
+void EntryControl::openWatch(const std::string &Address) {
+  const auto To = parseEndpoint(Address);
+  if (!To)
+    return;
+  Watch &Of = m_Watches[Address];
+  Of.m_Call = m_PeerClient.open(
+      To->m_Ip, To->m_Port, "/watch", encode(WatchRequest{m_Revision}),
+      WatchTime,
+      [this, Address](const std::string &Message) {
+        const auto Report = decode<CoreReport>(Message);
+        if (!isOk(Report)) {
+          logEvent(LogSeverity::Warning, "core.bad_report",
+                   {{"core", Address}});
+          return;
+        }
+        onReport(Address, valueOf(Report));
+      },
+      [this, Address](const Result<Done, PeerError> &Ended) {
+        const auto Found = m_Watches.find(Address);
+        if (Found == m_Watches.end())
+          return;
+        if (std::exchange(Found->second.m_Connected, false))
+          logEvent(LogSeverity::Warning, "core.lost",
+                   {{"core", Address},
+                    {"cause", isOk(Ended) ? std::string_view("ended")
+                                          : nameOf(errorOf(Ended).m_Code)}});
+        Found->second.m_Retry =
+            m_Timers.after(WatchRetry, [this, Address] { openWatch(Address); });
+      });
+}
+
+void EntryControl::onReport(const std::string &From, const CoreReport &Report) {
+  const auto Found = m_Watches.find(From);
+  if (Found == m_Watches.end())
+    return;
+  if (!std::exchange(Found->second.m_Connected, true))
+    logEvent(LogSeverity::Info, "core.connected",
+             {{"core", From}, {"reads_list", Report.m_ReadsList}});
+  if (Report.m_State)
+    takeState(From, *Report.m_State);
+  if (Report.m_ReadsList)
+    m_ListHeardAt = m_Timers.now();
+  if (Report.m_Leafs)
+    m_Updates.m_Leafs(*Report.m_Leafs);
+  // Different core VMs may have seen different entry VMs.
+  if (Report.m_EntryCount > m_EntryCount) {
+    m_EntryCount = Report.m_EntryCount;
+    m_Updates.m_EntryCount(m_EntryCount);
+  }
+  const std::size_t Known = m_Cores.size();
+  m_Cores.insert(Report.m_Cores.begin(), Report.m_Cores.end());
+  if (m_Cores.size() != Known)
+    watchMore();
+}
+
+void EntryControl::takeState(const std::string &From,
+                             const RoutingState &State) {
+  if (State.m_Revision <= m_Revision)
+    return;
+  m_Revision = State.m_Revision;
+  m_Updates.m_DomainsOut(State.m_DomainsOut);
+  logEvent(LogSeverity::Info, "state.taken",
+           {{"core", From},
+            {"revision", m_Revision},
+            {"version", State.m_Config.m_Version},
+            {"domains_out", State.m_DomainsOut.size()}});
+  if (State.m_Config.m_Version <= m_Version)
+    return;
+  auto Config = m_Reader(State.m_Config.m_Text);
+  if (!isOk(Config)) {
+    logEvent(LogSeverity::Error, "config.unreadable",
+             {{"version", State.m_Config.m_Version},
+              {"fault", describe(errorOf(Config).front())}});
+    return;
+  }
+  m_Version = State.m_Config.m_Version;
+  m_Updates.m_Routes(
+      std::make_shared<const RouteTable>(valueOf(std::move(Config))));
+}
+
+void EntryControl::checkList() {
+  const TimePoint Now = m_Timers.now();
+  const double Calls = static_cast<double>(m_CallsOfLastRead * m_EntryCount);
+  const Duration ByRate(static_cast<Duration::rep>(
+      1e6 * Calls / (m_Settings.m_LeafListRate * OwnListRateShare)));
+  if (Now - m_ListHeardAt < ListSilence ||
+      Now - m_ListAskedAt < std::max<Duration>(OwnListInterval, ByRate) ||
+      m_List.reading())
+    return;
+  m_ListAskedAt = Now;
+  const std::uint64_t Before = m_List.calls();
+  m_List.read([this, Before](Result<LeafList, ListError> Outcome) {
+    m_CallsOfLastRead = std::max<std::uint64_t>(m_List.calls() - Before, 1);
+    if (!isOk(Outcome))
+      return;
+    logEvent(LogSeverity::Info, "leaf_list.read_here",
+             {{"leafs", valueOf(Outcome).size()}});
+    m_Updates.m_Leafs(valueOf(std::move(Outcome)));
+  });
+}
+
+} // namespace ragwortdrift
--- a/src/ragwortdrift/net/http_client.cpp
+++ b/src/ragwortdrift/net/http_client.cpp
@@ -93,7 +93,9 @@
     if (m_Closing)
       std::get<1>(Outcome).m_Code = HttpErrorCode::Cancelled;
     close();
-  } else if (!valueOf(Outcome).keep_alive()) {
+  } else if (!valueOf(Outcome).keep_alive() || m_Buffer.size() > 0) {
+    // Bytes after a whole answer belong to no request; the connection is out
+    // of step.
     close();
   } else {
     watchIdle();
@@ -110,8 +112,11 @@
       tcp::socket::wait_read, [Weak = weak_from_this(),
                                Period = m_IdlePeriod](beast::error_code Error) {
         auto Self = Weak.lock();
-        if (Self && !Error && Self->m_IdlePeriod == Period)
-          Self->close();
+        if (!Self || Error || Self->m_IdlePeriod != Period || !Self->m_Open)
+          return;
+        Self->close();
+        if (auto Fn = std::exchange(Self->m_OnIdleEnd, nullptr))
+          Fn();
       });
 }
 
--- a/src/ragwortdrift/net/http_server.cpp
+++ b/src/ragwortdrift/net/http_server.cpp
@@ -39,9 +39,12 @@
     m_Stream.socket().close(Ignored);
   }
 
+  /// Ends the wait for a next request. One that has arrived is still read and
+  /// answered, and its answer closes the connection.
   void closeWhenIdle() {
-    if (!m_Current && !m_Writing)
-      close();
+    beast::error_code Ignored;
+    if (!m_Current && !m_Writing && m_Stream.socket().available(Ignored) == 0)
+      m_Stream.cancel();
   }
 
 private:
--- a/src/ragwortdrift/net/http_server_test.cpp
+++ b/src/ragwortdrift/net/http_server_test.cpp
@@ -172,6 +172,38 @@
   cr_assert(Setup.runUntil([&] { return Setup.m_Server.connections() == 0; }));
 }
 
+struct StopCase {
+  const char *m_Name;
+  /// Whether the server's handlers run between the request and the stop.
+  bool m_WaitForBytes;
+};
+const StopCase StopCases[] = {{"request unread at the stop", false},
+                              {"request being read at the stop", true}};
+
+// Guards against a stop that closes a connection whose request has arrived but
+// was not handled yet: the request would run and its answer be lost.
+TABLE_TEST(http_server, answers_what_has_arrived_when_a_stop_begins,
+           StopCases) {
+  Fixture Setup([](const std::shared_ptr<HttpExchange> &Exchange) {
+    Exchange->respond(jsonResponse(200, "whole"));
+  });
+  tcp::socket Caller = Setup.connect();
+  cr_assert(Setup.runUntil([&] { return Setup.m_Server.connections() == 1; }));
+  // The first handler reads the bytes, and the one that gets the request is
+  // still queued when the stop begins.
+  asio::write(Caller, asio::buffer(requestText("x")));
+  if (Row.m_WaitForBytes)
+    cr_assert_eq(Setup.m_Io.run_one_for(1s), 1U);
+  Setup.m_Server.beginStop();
+  std::string Text;
+  cr_assert(Setup.runUntil([&] {
+    readMore(Caller, Text);
+    return holdsInOrder(Text, {"200", "Connection: close", "whole"});
+  }),
+            "%s", Row.m_Name);
+  cr_assert(Setup.runUntil([&] { return Setup.m_Server.connections() == 0; }));
+}
+
 // Guards against the loss of a good connection after its first answer.
 Test(http_client, uses_one_connection_for_many_requests) {
   std::size_t Served = 0;
--- /dev/null
+++ b/src/ragwortdrift/routing/route_table.cpp
@@ -0,0 +1,62 @@
+#include "ragwortdrift/routing/route_table.hpp"
+
+#include <algorithm>
+
+namespace ragwortdrift {
+
+namespace {
+
+std::string normalizedHost(std::string_view Host) {
+  std::string Out(Host.substr(0, Host.find(':')));
+  for (char &C : Out)
+    if (C >= 'A' && C <= 'Z')
+      C = static_cast<char>(C - 'A' + 'a');
+  return Out;
+}
+
+} // namespace
+
+RouteTable::RouteTable(RouteConfig Config) : m_Config(std::move(Config)) {
+  for (const Route &Each : m_Config.m_Routes)
+    m_Hosts[normalizedHost(Each.m_Host)].push_back(&Each);
+  for (auto &[Host, Routes] : m_Hosts)
+    std::stable_sort(Routes.begin(), Routes.end(),
+                     [](const Route *A, const Route *B) {
+                       return A->m_PathPrefix.size() > B->m_PathPrefix.size();
+                     });
+  for (const RoutedService &Each : m_Config.m_Services)
+    m_Services.emplace(Each.m_Name, &Each);
+}
+
+const Route *RouteTable::find(std::string_view Host,
+                              std::string_view Path) const {
+  const auto Routes = m_Hosts.find(normalizedHost(Host));
+  if (Routes == m_Hosts.end())
+    return nullptr;
+  const std::string_view Plain = Path.substr(0, Path.find('?'));
+  for (const Route *Each : Routes->second)
+    if (Plain.starts_with(Each->m_PathPrefix))
+      return Each;
+  return nullptr;
+}
+
+const RoutedService *RouteTable::service(const ServiceName &Name) const {
+  const auto Found = m_Services.find(Name);
+  return Found == m_Services.end() ? nullptr : Found->second;
+}
+
+std::size_t WeightedTurn::next(const std::vector<WeightedService> &Services) {
+  m_Credit.resize(Services.size());
+  double Total = 0;
+  std::size_t Best = 0;
+  for (std::size_t I = 0; I < Services.size(); ++I) {
+    Total += Services[I].m_Weight;
+    m_Credit[I] += Services[I].m_Weight;
+    if (m_Credit[I] > m_Credit[Best])
+      Best = I;
+  }
+  m_Credit[Best] -= Total;
+  return Best;
+}
+
+} // namespace ragwortdrift
--- /dev/null
+++ b/src/ragwortdrift/routing/routing_state.cpp
@@ -0,0 +1,36 @@
+#include "ragwortdrift/routing/routing_state.hpp"
+
+namespace ragwortdrift {
+
+namespace {
+
+OrderOutcome apply(RoutingState &State, const SetConfig &Order) {
+  const ConfigText &Given = Order.m_Config;
+  if (Given.m_Version == State.m_Config.m_Version)
+    return Given == State.m_Config ? OrderOutcome::Unchanged
+                                   : OrderOutcome::OtherContent;
+  if (Given.m_Version < State.m_Config.m_Version)
+    return OrderOutcome::Unchanged;
+  State.m_Config = Given;
+  ++State.m_Revision;
+  return OrderOutcome::Accepted;
+}
+
+OrderOutcome apply(RoutingState &State, const SetDomainOut &Order) {
+  const bool Changed = Order.m_Out
+                           ? State.m_DomainsOut.insert(Order.m_Domain).second
+                           : State.m_DomainsOut.erase(Order.m_Domain) > 0;
+  if (!Changed)
+    return OrderOutcome::Unchanged;
+  ++State.m_Revision;
+  return OrderOutcome::Accepted;
+}
+
+} // namespace
+
+OrderOutcome applyOrder(RoutingState &State, const RoutingOrder &Order) {
+  return std::visit([&](const auto &Given) { return apply(State, Given); },
+                    Order);
+}
+
+} // namespace ragwortdrift
