Test routing and dispatch; answer at once what cannot be sent

Cause: a request whose only try was refused, with no token for a repeat, was held until its deadline (r7 in the log of the random test: status 503 after 593 ms).

Change: a request to one service is answered as not run after 60 ms, a search waits for a token until its cut. Tests of the routing state against a sequential model, and of dispatch under random faults in virtual time.

--- a/include/ragwortdrift/dispatch/request_run.hpp
+++ b/include/ragwortdrift/dispatch/request_run.hpp
@@ -89,7 +89,9 @@
   unsigned possibleRuns(const Part &Of) const;
   bool hasOpenTry(const Part &Of) const;
   void send(std::size_t PartIndex);
-  bool mayRepeat(const Part &Of);
+  bool mayRepeat(const Part &Of) const;
+  /// Nothing can be sent for a part now, for want of a token or of a leaf.
+  void waitOrGiveUp(Part &Of, bool ForToken);
   HttpRequest leafRequest(const LeafView &Leaf) const;
   void onOutcome(std::size_t PartIndex, std::size_t TryIndex,
                  Result<HttpResponse, HttpError> &Outcome);
--- /dev/null
+++ b/src/ragwortdrift/dispatch/dispatch_fixture.hpp
@@ -0,0 +1,196 @@
+#ifndef RAGWORTDRIFT_DISPATCH_DISPATCH_FIXTURE_HPP
+#define RAGWORTDRIFT_DISPATCH_DISPATCH_FIXTURE_HPP
+
+#include "ragwortdrift/dispatch/dispatcher.hpp"
+#include "ragwortdrift/dispatch/request_run.hpp"
+
+#include <map>
+#include <optional>
+
+namespace ragwortdrift::testing {
+
+/// What a fake transport was given and has not ended.
+struct FakeSend {
+  ListedLeaf m_Leaf;
+  HttpRequest m_Request;
+  TimePoint m_At;
+  LeafTransport::Callback m_Fn;
+};
+
+/// A transport whose answers the test gives.
+class FakeTransport : public LeafTransport {
+public:
+  explicit FakeTransport(TimerService &Timers) : m_Timers(Timers) {}
+
+  SendId send(const ListedLeaf &Leaf, HttpRequest Request, Duration,
+              Callback Fn) override {
+    const SendId Id = ++m_LastId;
+    ++m_Sends[Leaf.m_Service];
+    m_Open[Id] = {Leaf, std::move(Request), m_Timers.now(), std::move(Fn)};
+    return Id;
+  }
+  void cancel(SendId Id) override { m_Cancelled += m_Open.erase(Id); }
+
+  void end(SendId Id, Result<HttpResponse, HttpError> Outcome) {
+    auto Node = m_Open.extract(Id);
+    Node.mapped().m_Fn(std::move(Outcome));
+  }
+  /// Open requests to a service that are no health probes, oldest first.
+  std::vector<SendId> openTo(const std::string &Service) const {
+    std::vector<SendId> Out;
+    for (const auto &[Id, Each] : m_Open)
+      if (Each.m_Leaf.m_Service.m_Value == Service && !isProbe(Each))
+        Out.push_back(Id);
+    return Out;
+  }
+  std::vector<SendId> probes() const {
+    std::vector<SendId> Out;
+    for (const auto &[Id, Each] : m_Open)
+      if (isProbe(Each))
+        Out.push_back(Id);
+    return Out;
+  }
+  static bool isProbe(const FakeSend &Each) {
+    return Each.m_Request.target() == "/healthz";
+  }
+
+  std::map<SendId, FakeSend> m_Open;
+  std::map<ServiceName, int> m_Sends;
+  std::size_t m_Cancelled = 0;
+
+private:
+  TimerService &m_Timers;
+  SendId m_LastId = 0;
+};
+
+inline LeafProtocol testProtocol() {
+  return {"T-Id",   "T-Left", "T-Expect", "T-Sign",  "T-Not-Run",
+          "T-Load", "T-Cold", "T-Leaf",   "T-Parts", "T-Missing"};
+}
+
+/// A dispatcher in virtual time: the search route /s/ over the shards s1 to s4
+/// (coverage 0.75, 3 records, objective 100 ms, timeout 600 ms) and the routes
+/// /r/ (repeatable) and /b/ (not repeatable) of the service one. Each service
+/// has leafs SERVICE-1 to SERVICE-3 in the domains d1 to d3.
+struct DispatchFixture {
+  explicit DispatchFixture(std::uint64_t Seed = 1,
+                           DispatchOptions Options = defaultOptions())
+      : m_Transport(m_Timers),
+        m_Dispatcher(m_Timers, m_Transport, testProtocol(), Options, Seed) {
+    m_Dispatcher.setRoutes(std::make_shared<const RouteTable>(config()));
+    m_Dispatcher.setLeafs(leafs());
+  }
+
+  static DispatchOptions defaultOptions() {
+    DispatchOptions Options;
+    Options.m_Domain = FailureDomain{"d1"};
+    return Options;
+  }
+
+  static std::vector<std::string> services() {
+    return {"s1", "s2", "s3", "s4", "one"};
+  }
+
+  static RouteConfig config(std::uint64_t Version = 1) {
+    using namespace std::chrono_literals;
+    RouteConfig Out;
+    Out.m_Version = Version;
+    for (const std::string &Name : services())
+      Out.m_Services.push_back({ServiceName{Name}, "/healthz", 10, 3s, 0});
+    Route Search{"search", "h",   "/s/", RouteKind::Search,
+                 true,     600ms, 100ms, 1,
+                 2,        {},    3,     0.75};
+    for (int I = 0; I < 4; ++I)
+      Search.m_Services.push_back({ServiceName{services()[I]}, 1});
+    Route Repeatable{
+        "repeatable", "h", "/r/", RouteKind::Single,        true, 2s,
+        400ms,        1,   2,     {{ServiceName{"one"}, 1}}};
+    Route Booking = Repeatable;
+    Booking.m_Name = "booking";
+    Booking.m_PathPrefix = "/b/";
+    Booking.m_Repeatable = false;
+    Out.m_Routes = {Search, Repeatable, Booking};
+    return Out;
+  }
+
+  static LeafList leafs() {
+    LeafList Out;
+    for (const std::string &Service : services())
+      for (int I = 1; I <= 3; ++I) {
+        const std::string Number = std::to_string(I);
+        ListedLeaf Leaf;
+        Leaf.m_Id = LeafId{Service + "-" + Number};
+        Leaf.m_Service = ServiceName{Service};
+        Leaf.m_Address = {"10.0.0." + Number, 80};
+        Leaf.m_Domain = FailureDomain{"d" + Number};
+        Out.push_back(Leaf);
+      }
+    return Out;
+  }
+
+  std::shared_ptr<RequestRun> ask(const std::string &Path,
+                                  int WaitMillis = 600) {
+    HttpRequest Request{boost::beast::http::verb::get, Path + "x", 11};
+    Request.set("Host", "h");
+    Request.set("T-Id", "r" + std::to_string(++m_LastRequest));
+    Request.set("T-Left", std::to_string(WaitMillis));
+    Request.set("Connection", "X-Hop");
+    Request.set("X-Hop", "1");
+    Request.set("X-Kept", "1");
+    m_Answer.reset();
+    return m_Dispatcher.dispatch(
+        Request, [this](HttpResponse Out) { m_Answer = std::move(Out); });
+  }
+
+  void pass(Duration Time) { m_Timers.advanceTo(m_Timers.now() + Time); }
+
+  /// A whole answer of the leaf that a send went to.
+  HttpResponse answerOf(SendId Id, unsigned Status = 200,
+                        std::string Body = {}) const {
+    const FakeSend &Send = m_Transport.m_Open.at(Id);
+    HttpResponse Out{static_cast<boost::beast::http::status>(Status), 11};
+    Out.set("T-Id", Send.m_Request["T-Id"]);
+    Out.set("T-Sign", "sign-" + Send.m_Leaf.m_Id.m_Value);
+    Out.body() = std::move(Body);
+    return Out;
+  }
+  static HttpResponse refusal(unsigned Status = 503) {
+    HttpResponse Out{static_cast<boost::beast::http::status>(Status), 11};
+    Out.set("T-Not-Run", "1");
+    return Out;
+  }
+  static HttpError lost() {
+    return {HttpErrorCode::ConnectionLost, true, "reset"};
+  }
+  static HttpError unsent() {
+    return {HttpErrorCode::ConnectFailed, false, "refused"};
+  }
+  void answerOldest(const std::string &Service, std::string Body = {}) {
+    const SendId Id = m_Transport.openTo(Service).front();
+    m_Transport.end(Id, answerOf(Id, 200, std::move(Body)));
+  }
+  /// Serves requests in 5 ms each, so that hedging has a history and the
+  /// budgets have tokens.
+  void warmUp(const std::string &Path, int Requests = 60) {
+    using namespace std::chrono_literals;
+    for (int I = 0; I < Requests; ++I) {
+      ask(Path);
+      pass(5ms);
+      while (!m_Answer) {
+        for (const std::string &Service : services())
+          while (!m_Transport.openTo(Service).empty())
+            answerOldest(Service);
+      }
+    }
+  }
+
+  TimerService m_Timers;
+  FakeTransport m_Transport;
+  Dispatcher m_Dispatcher;
+  std::optional<HttpResponse> m_Answer;
+  int m_LastRequest = 0;
+};
+
+} // namespace ragwortdrift::testing
+
+#endif
--- /dev/null
+++ b/src/ragwortdrift/dispatch/dispatcher_test.cpp
@@ -0,0 +1,509 @@
+#include "answer_merge.hpp"
+#include "dispatch_fixture.hpp"
+#include "ragwortdrift/testing/table.hpp"
+
+using namespace ragwortdrift;
+using namespace ragwortdrift::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string record(char C) { return std::string(RecordBytes, C); }
+
+bool promisesNotRun(unsigned Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
+struct MergeCase {
+  const char *m_Name;
+  std::vector<std::string> m_Bodies;
+  std::size_t m_Max;
+  std::string m_Merged;
+};
+const MergeCase MergeCases[] = {
+    {"order across bodies",
+     {record('a') + record('c'), record('b')},
+     10,
+     record('c') + record('b') + record('a')},
+    {"cut at the count",
+     {record('a') + record('c'), record('b')},
+     2,
+     record('c') + record('b')},
+    {"equal records count",
+     {record('a'), record('a')},
+     3,
+     record('a') + record('a')},
+    {"a remainder is no record", {record('a') + "zzz"}, 3, record('a')},
+    {"bytes compare unsigned",
+     {record('\x7f'), record('\xff')},
+     1,
+     record('\xff')},
+    {"no records", {"", "short"}, 3, ""},
+    {"no results wanted", {record('a')}, 0, ""},
+};
+
+struct BookingCase {
+  const char *m_Name;
+  Result<HttpResponse, HttpError> m_First;
+  /// Sends after the first has ended.
+  std::size_t m_Repeats;
+  /// 0 while there is no answer yet.
+  unsigned m_Status;
+};
+const BookingCase BookingCases[] = {
+    {"connection lost", DispatchFixture::lost(), 0, 502},
+    {"refused before it ran", DispatchFixture::refusal(), 1, 0},
+    {"another leaf at the address", DispatchFixture::refusal(421), 1, 0},
+    {"nothing was sent", DispatchFixture::unsent(), 1, 0},
+    {"success without signature",
+     HttpResponse{boost::beast::http::status::ok, 11}, 0, 502},
+};
+
+struct GiveUpCase {
+  const char *m_Name;
+  const char *m_Path;
+  void (*m_Prepare)(DispatchFixture &);
+  /// A quarter of the objective for one service; the objective for a search,
+  /// since tokens for a missing shard may come until then.
+  Duration m_Limit;
+};
+const GiveUpCase GiveUpCases[] = {
+    {"booking without a token", "/b/", [](DispatchFixture &) {}, 100ms},
+    {"request without a token", "/r/", [](DispatchFixture &) {}, 100ms},
+    {"search without a token", "/s/", [](DispatchFixture &) {}, 100ms},
+    {"request without a leaf", "/r/",
+     [](DispatchFixture &F) {
+       F.m_Dispatcher.setDomainsOut(
+           {FailureDomain{"d1"}, FailureDomain{"d2"}, FailureDomain{"d3"}});
+     },
+     100ms},
+    {"search without a leaf", "/s/",
+     [](DispatchFixture &F) {
+       F.m_Dispatcher.setDomainsOut(
+           {FailureDomain{"d1"}, FailureDomain{"d2"}, FailureDomain{"d3"}});
+     },
+     100ms},
+};
+
+struct BarCase {
+  const char *m_Name;
+  void (*m_Change)(DispatchFixture &);
+};
+const BarCase BarCases[] = {
+    {"draining",
+     [](DispatchFixture &F) {
+       LeafList List = F.leafs();
+       for (ListedLeaf &Leaf : List)
+         if (Leaf.m_Id.m_Value == "one-1")
+           Leaf.m_State = ListedState::Draining;
+       F.m_Dispatcher.setLeafs(List);
+     }},
+    {"cold",
+     [](DispatchFixture &F) {
+       LeafList List = F.leafs();
+       for (ListedLeaf &Leaf : List)
+         if (Leaf.m_Id.m_Value == "one-1")
+           Leaf.m_ColdFor = 3s;
+       F.m_Dispatcher.setLeafs(List);
+     }},
+    {"gone from the list",
+     [](DispatchFixture &F) {
+       LeafList List = F.leafs();
+       std::erase_if(List, [](const ListedLeaf &Leaf) {
+         return Leaf.m_Id.m_Value == "one-1";
+       });
+       F.m_Dispatcher.setLeafs(List);
+     }},
+    {"started again under its id",
+     [](DispatchFixture &F) {
+       LeafList List = F.leafs();
+       for (ListedLeaf &Leaf : List)
+         if (Leaf.m_Id.m_Value == "one-1")
+           Leaf.m_StartedAt = 7;
+       F.m_Dispatcher.setLeafs(List);
+     }},
+    {"domain out",
+     [](DispatchFixture &F) {
+       F.m_Dispatcher.setDomainsOut({FailureDomain{"d1"}});
+     }},
+    {"idle connection ended",
+     [](DispatchFixture &F) { F.m_Dispatcher.onIdleEnd(LeafId{"one-1"}); }},
+};
+
+} // namespace
+
+// Guards against answers in a wrong order, with lost duplicates or with bytes
+// that are no record.
+TABLE_TEST(dispatch, merges_the_greatest_records, MergeCases) {
+  const std::vector<std::string_view> Bodies(Row.m_Bodies.begin(),
+                                             Row.m_Bodies.end());
+  cr_assert(mergeGreatest(Bodies, Row.m_Max) == Row.m_Merged, "%s", Row.m_Name);
+}
+
+// Guards against a search that skips a shard or asks one twice, and against
+// headers that belong to one connection.
+Test(dispatch, asks_each_shard_once_and_merges) {
+  DispatchFixture F;
+  F.ask("/s/");
+  for (const char *Shard : {"s1", "s2", "s3", "s4"}) {
+    const auto Open = F.m_Transport.openTo(Shard);
+    cr_assert_eq(Open.size(), 1U);
+    const FakeSend &Send = F.m_Transport.m_Open.at(Open.front());
+    cr_assert_eq(Send.m_Request["T-Expect"], Send.m_Leaf.m_Id.m_Value);
+    cr_assert_eq(Send.m_Request["X-Kept"], "1");
+    cr_assert(Send.m_Request["X-Hop"].empty());
+    cr_assert_leq(std::stoi(std::string(Send.m_Request["T-Left"])), 600);
+    F.answerOldest(Shard, record(Shard[1]));
+  }
+  cr_assert(F.m_Answer.has_value());
+  cr_assert_eq(F.m_Answer->result_int(), 200U);
+  cr_assert_eq((*F.m_Answer)["T-Missing"], "0");
+  cr_assert_eq((*F.m_Answer)["T-Parts"],
+               "sign-s1-1, sign-s2-1, sign-s3-1, sign-s4-1");
+  cr_assert(F.m_Answer->body() == record('4') + record('3') + record('2'));
+}
+
+// Guards against a search that waits for a pausing leaf.
+Test(dispatch, hedges_a_late_shard) {
+  DispatchFixture F;
+  F.warmUp("/s/");
+  F.ask("/s/");
+  for (const char *Shard : {"s1", "s2", "s3"})
+    F.answerOldest(Shard);
+  const SendId First = F.m_Transport.openTo("s4").front();
+  F.pass(40ms);
+  const auto Open = F.m_Transport.openTo("s4");
+  cr_assert_eq(Open.size(), 2U);
+  cr_assert_neq(F.m_Transport.m_Open.at(First).m_Leaf.m_Id.m_Value,
+                F.m_Transport.m_Open.at(Open[1]).m_Leaf.m_Id.m_Value);
+  F.m_Transport.end(Open[1], F.answerOf(Open[1]));
+  cr_assert(F.m_Answer.has_value());
+  cr_assert_eq((*F.m_Answer)["T-Missing"], "0");
+  // What one request learned of the leaf, the next one uses.
+  F.ask("/s/");
+  const SendId Next = F.m_Transport.openTo("s4").back();
+  cr_assert_neq(F.m_Transport.m_Open.at(Next).m_Leaf.m_Id.m_Value,
+                F.m_Transport.m_Open.at(First).m_Leaf.m_Id.m_Value);
+}
+
+// Guards against repeats beyond the budget, whatever fails.
+Test(dispatch, keeps_repeats_within_the_budget) {
+  for (unsigned Seed = 1; Seed <= 20; ++Seed) {
+    DispatchOptions Options = DispatchFixture::defaultOptions();
+    Options.m_RepeatSlack = 10;
+    DispatchFixture F(Seed, Options);
+    std::mt19937 Random(Seed);
+    const int Requests = 300;
+    for (int I = 0; I < Requests; ++I) {
+      F.ask("/r/", 50);
+      for (int Tick = 0; Tick < 6; ++Tick) {
+        F.pass(10ms);
+        for (const SendId Id : F.m_Transport.openTo("one"))
+          if (Random() % 2 == 0)
+            F.m_Transport.end(Id,
+                              Random() % 2 == 0
+                                  ? Result<HttpResponse, HttpError>(F.lost())
+                                  : F.refusal());
+      }
+    }
+    const int Sends = F.m_Transport.m_Sends[ServiceName{"one"}];
+    const auto Probes = static_cast<int>(F.m_Transport.probes().size());
+    cr_assert_leq(Sends - Probes - Requests,
+                  static_cast<int>(Options.m_RepeatRatio * Requests +
+                                   Options.m_RepeatSlack),
+                  "seed %u", Seed);
+  }
+}
+
+// Guards against a search that is worth little because one shard is late, and
+// against a false count of the shards that are missing.
+Test(dispatch, answers_near_the_objective_without_a_late_shard) {
+  DispatchFixture F;
+  F.ask("/s/");
+  for (const char *Shard : {"s1", "s2", "s3"})
+    F.answerOldest(Shard, record(Shard[1]));
+  F.pass(80ms);
+  cr_assert_not(F.m_Answer.has_value());
+  F.pass(20ms);
+  cr_assert(F.m_Answer.has_value());
+  cr_assert_eq(F.m_Answer->result_int(), 200U);
+  cr_assert_eq((*F.m_Answer)["T-Missing"], "1");
+  cr_assert(F.m_Answer->body() == record('3') + record('2') + record('1'));
+}
+
+// Guards against an answer below the coverage that the route asks for, and
+// against one that is held back although it has become impossible.
+Test(dispatch, fails_a_search_below_its_coverage) {
+  DispatchFixture F;
+  F.ask("/s/");
+  F.answerOldest("s1");
+  F.answerOldest("s2");
+  F.pass(200ms);
+  cr_assert_not(F.m_Answer.has_value());
+  // A third answer is enough, although late.
+  F.answerOldest("s3");
+  cr_assert(F.m_Answer.has_value());
+  cr_assert_eq((*F.m_Answer)["T-Missing"], "1");
+
+  F.ask("/s/");
+  F.answerOldest("s1");
+  F.pass(600ms);
+  cr_assert(F.m_Answer.has_value());
+  cr_assert_eq(F.m_Answer->result_int(), 504U);
+}
+
+// Guards against a request that is not repeatable and runs twice, and against
+// one that is given up although it did not run.
+TABLE_TEST(dispatch, repeats_a_booking_only_when_it_did_not_run, BookingCases) {
+  DispatchFixture F;
+  F.warmUp("/r/");
+  F.ask("/b/", 2000);
+  const SendId First = F.m_Transport.openTo("one").front();
+  F.m_Transport.end(First, Row.m_First);
+  F.pass(50ms);
+  cr_assert_eq(F.m_Transport.openTo("one").size(), Row.m_Repeats, "%s",
+               Row.m_Name);
+  cr_assert_eq(F.m_Answer ? F.m_Answer->result_int() : 0, Row.m_Status, "%s",
+               Row.m_Name);
+}
+
+// Guards against a request that is held until its deadline although nothing
+// can be sent for it: without a token, or without a leaf.
+TABLE_TEST(dispatch, gives_up_at_once_what_cannot_be_sent, GiveUpCases) {
+  DispatchFixture F;
+  Row.m_Prepare(F);
+  F.ask(Row.m_Path, 600);
+  for (const std::string &Service : F.services())
+    for (const SendId Id : F.m_Transport.openTo(Service))
+      F.m_Transport.end(Id, F.refusal());
+  F.pass(Row.m_Limit);
+  cr_assert(F.m_Answer.has_value(), "%s", Row.m_Name);
+  cr_assert_eq(F.m_Answer->result_int(), 503U, "%s", Row.m_Name);
+}
+
+// Guards against a hedge of a booking.
+Test(dispatch, does_not_hedge_a_booking) {
+  DispatchFixture F;
+  F.warmUp("/r/");
+  F.ask("/b/", 2000);
+  F.pass(1900ms);
+  cr_assert_eq(F.m_Transport.openTo("one").size(), 1U);
+  F.pass(100ms);
+  cr_assert_eq(F.m_Answer->result_int(), 504U);
+}
+
+// Guards against a leaf's answer that is changed on its way, success or not.
+Test(dispatch, passes_a_leafs_answer_on_unchanged) {
+  for (const unsigned Status : {200U, 201U, 404U, 500U}) {
+    DispatchFixture F;
+    F.ask("/b/", 2000);
+    const SendId Id = F.m_Transport.openTo("one").front();
+    F.m_Transport.end(Id, F.answerOf(Id, Status, "body"));
+    cr_assert(F.m_Answer.has_value());
+    cr_assert_eq(F.m_Answer->result_int(), Status);
+    cr_assert_eq(F.m_Answer->body(), "body");
+    cr_assert_eq((*F.m_Answer)["T-Sign"], "sign-one-1");
+  }
+}
+
+// Guards against requests to a leaf that may not be asked.
+TABLE_TEST(dispatch, keeps_off_a_barred_leaf, BarCases) {
+  DispatchFixture F;
+  Row.m_Change(F);
+  for (int I = 0; I < 30; ++I) {
+    F.ask("/b/", 2000);
+    for (const SendId Id : F.m_Transport.openTo("one")) {
+      cr_assert_neq(F.m_Transport.m_Open.at(Id).m_Leaf.m_Id.m_Value,
+                    std::string("one-1"), "%s", Row.m_Name);
+      F.m_Transport.end(Id, F.answerOf(Id));
+    }
+  }
+}
+
+// Guards against load on the cold leafs of a domain that came back in, which
+// the list does not show yet.
+Test(dispatch, verifies_leafs_of_a_domain_that_is_back) {
+  DispatchFixture F;
+  F.m_Dispatcher.setDomainsOut({FailureDomain{"d1"}});
+  F.m_Dispatcher.setDomainsOut({});
+  F.pass(1ms);
+  const auto Probes = F.m_Transport.probes();
+  cr_assert_eq(Probes.size(), DispatchFixture::services().size());
+  for (const SendId Id : Probes) {
+    const LeafId Leaf = F.m_Transport.m_Open.at(Id).m_Leaf.m_Id;
+    HttpResponse Healthy{boost::beast::http::status::ok, 11};
+    Healthy.set("T-Leaf", Leaf.m_Value);
+    Healthy.set("T-Cold", "2000");
+    F.m_Transport.end(Id, Healthy);
+  }
+  const auto UsesFirst = [&] {
+    F.ask("/b/", 2000);
+    const SendId Id = F.m_Transport.openTo("one").back();
+    const bool First =
+        F.m_Transport.m_Open.at(Id).m_Leaf.m_Id.m_Value == "one-1";
+    F.m_Transport.end(Id, F.answerOf(Id));
+    return First;
+  };
+  cr_assert_not(UsesFirst());
+  F.pass(2100ms);
+  cr_assert(UsesFirst());
+}
+
+// Guards against leafs that go on working for a caller that has left.
+Test(dispatch, ends_all_tries_of_a_caller_that_left) {
+  DispatchFixture F;
+  const auto Run = F.ask("/s/");
+  F.answerOldest("s1");
+  Run->cancel();
+  cr_assert(F.m_Transport.m_Open.empty());
+  cr_assert_eq(F.m_Transport.m_Cancelled, 3U);
+  cr_assert_not(F.m_Answer.has_value());
+  cr_assert_eq(F.m_Dispatcher.inFlight(), 0U);
+}
+
+// Guards against a search that mixes the shards of two configurations.
+Test(dispatch, finishes_a_search_with_the_version_it_began) {
+  DispatchFixture F;
+  F.ask("/s/");
+  RouteConfig Next = F.config(2);
+  Next.m_Routes[0].m_Services.pop_back();
+  F.m_Dispatcher.setRoutes(std::make_shared<const RouteTable>(Next));
+  for (const char *Shard : {"s1", "s2", "s3"})
+    F.answerOldest(Shard);
+  cr_assert_not(F.m_Answer.has_value());
+  F.answerOldest("s4");
+  cr_assert_eq((*F.m_Answer)["T-Missing"], "0");
+  F.ask("/s/");
+  cr_assert(F.m_Transport.openTo("s4").empty());
+  // An older version does not come back.
+  F.m_Dispatcher.setRoutes(std::make_shared<const RouteTable>(F.config(1)));
+  F.ask("/s/");
+  cr_assert(F.m_Transport.openTo("s4").empty());
+}
+
+struct RefusalCase {
+  const char *m_Name;
+  const char *m_Path;
+  const char *m_Header;
+  const char *m_Value;
+  unsigned m_Status;
+};
+const RefusalCase RefusalCases[] = {
+    {"unknown route", "/none/", "T-Left", "600", 404},
+    {"no request id", "/s/", "T-Id", "", 400},
+    {"bad time", "/s/", "T-Left", "soon", 400},
+    {"negative time", "/s/", "T-Left", "-1", 400},
+};
+
+// Guards against requests that are refused with a wrong status or without one.
+TABLE_TEST(dispatch, refuses_with_a_typed_status, RefusalCases) {
+  DispatchFixture F;
+  HttpRequest Request{boost::beast::http::verb::get, Row.m_Path, 11};
+  Request.set("Host", "h");
+  Request.set("T-Id", "r");
+  Request.set("T-Left", "600");
+  Request.set(Row.m_Header, Row.m_Value);
+  unsigned Status = 0;
+  F.m_Dispatcher.dispatch(
+      Request, [&](const HttpResponse &Out) { Status = Out.result_int(); });
+  cr_assert_eq(Status, Row.m_Status, "%s", Row.m_Name);
+}
+
+// Guards against 404 or a closed connection from a VM that knows no
+// configuration yet.
+Test(dispatch, refuses_as_not_run_without_a_configuration) {
+  TimerService Timers;
+  FakeTransport Transport(Timers);
+  Dispatcher Fresh(Timers, Transport, testProtocol(), {}, 1);
+  HttpRequest Request{boost::beast::http::verb::get, "/s/", 11};
+  std::optional<HttpResponse> Answer;
+  Fresh.dispatch(Request, [&](HttpResponse Out) { Answer = std::move(Out); });
+  cr_assert_eq(Answer->result_int(), 503U);
+  cr_assert_not((*Answer)["Retry-After"].empty());
+  cr_assert_not(Fresh.ready());
+}
+
+// Guards, under random outcomes, against a booking that may run twice, a false
+// promise that a request did not run, more tries than the route allows, false
+// coverage, a missing answer and one after the deadline.
+Test(dispatch, keeps_its_promises_under_random_faults) {
+  for (unsigned Seed = 1; Seed <= 300; ++Seed) {
+    DispatchFixture F(Seed);
+    std::mt19937 Random(Seed);
+    for (int Round = 0; Round < 20; ++Round) {
+      const char *Path = Random() % 3 == 0   ? "/b/"
+                         : Random() % 2 == 0 ? "/r/"
+                                             : "/s/";
+      const TimePoint Began = F.m_Timers.now();
+      F.ask(Path, 600);
+      std::map<std::string, int> MayHaveRun, Answered;
+      std::map<SendId, std::string> Seen;
+      std::size_t Signed = 0;
+      const auto Note = [&] {
+        for (const std::string &Service : F.services())
+          for (const SendId Id : F.m_Transport.openTo(Service))
+            if (Seen.emplace(Id, Service).second)
+              ++MayHaveRun[Service];
+      };
+      while (!F.m_Answer && F.m_Timers.now() - Began < 650ms) {
+        Note();
+        for (const std::string &Service : F.services())
+          for (const SendId Id : F.m_Transport.openTo(Service)) {
+            if (F.m_Answer || !F.m_Transport.m_Open.contains(Id))
+              continue;
+            switch (Random() % 12) {
+            case 0:
+              F.m_Transport.end(Id, F.lost());
+              break;
+            case 1:
+              --MayHaveRun[Service];
+              F.m_Transport.end(Id, F.refusal(Random() % 2 ? 503 : 421));
+              break;
+            case 2:
+              --MayHaveRun[Service];
+              F.m_Transport.end(Id, F.unsent());
+              break;
+            case 3:
+              F.m_Transport.end(Id, F.answerOf(Id, 500));
+              break;
+            case 4:
+            case 5:
+              ++Answered[Service];
+              F.m_Transport.end(Id, F.answerOf(Id));
+              break;
+            default:
+              break;
+            }
+            Note();
+          }
+        F.pass(5ms);
+      }
+      Note();
+      cr_assert(F.m_Answer.has_value(), "seed %u: no answer", Seed);
+      cr_assert_leq(F.m_Timers.now() - Began, Duration(605ms));
+      const unsigned Status = F.m_Answer->result_int();
+      int Runs = 0;
+      for (const auto &[Service, Count] : MayHaveRun) {
+        Runs += Count;
+        cr_assert_leq(Count, std::string(Path) == "/b/" ? 1 : 2, "seed %u: %s",
+                      Seed, Path);
+      }
+      if (promisesNotRun(Status))
+        cr_assert_eq(Runs, 0, "seed %u: false promise", Seed);
+      if (std::string(Path) == "/s/" && Status == 200) {
+        const std::string Parts((*F.m_Answer)["T-Parts"]);
+        Signed = static_cast<std::size_t>(
+                     std::count(Parts.begin(), Parts.end(), ',')) +
+                 1;
+        cr_assert_eq(
+            Signed + std::stoul(std::string((*F.m_Answer)["T-Missing"])), 4U);
+        cr_assert_geq(Signed, 3U);
+        cr_assert_leq(Signed, Answered.size());
+      }
+      // Tries that were left open end by themselves.
+      F.pass(300ms);
+      for (const std::string &Service : F.services())
+        cr_assert(F.m_Transport.openTo(Service).empty(), "seed %u", Seed);
+    }
+  }
+}
--- a/src/ragwortdrift/dispatch/request_run.cpp
+++ b/src/ragwortdrift/dispatch/request_run.cpp
@@ -22,9 +22,10 @@
 /// A part without a leaf to ask, or a repeat without a token, is tried again
 /// after this.
 constexpr std::chrono::milliseconds RetryDelay{10};
-/// A part whose service has no leaf to ask is given up after this. A leaf that
-/// is being verified is back within a probe, some 10 ms.
-constexpr std::chrono::milliseconds NoLeafWait{60};
+/// A part for which nothing can be sent is given up this long after the start
+/// of its request. A leaf that is being verified is back within a probe, some
+/// 10 ms.
+constexpr std::chrono::milliseconds NothingToSendWait{60};
 /// Sends of one part, refused ones included.
 constexpr std::size_t MaxSends = 6;
 /// After the answer, open tries may end by themselves for this long, so that
@@ -188,7 +189,7 @@
   });
 }
 
-bool RequestRun::mayRepeat(const Part &Of) {
+bool RequestRun::mayRepeat(const Part &Of) const {
   const unsigned Runs = possibleRuns(Of);
   if (Of.m_Tries.size() >= MaxSends || Runs >= m_Route.m_MaxTries)
     return false;
@@ -220,13 +221,8 @@
       std::any_of(Of.m_Tries.begin(), Of.m_Tries.end(), [](const Try &Given) {
         return Given.m_Outcome != TryOutcome::Unsent;
       });
-  if (!Leaf && !hasOpenTry(Of) && Now - m_StartedAt >= NoLeafWait) {
-    Of.m_Failed = true;
-    return;
-  }
   if (!Leaf || (IsRepeat && !m_Owner.budget(Of.m_Service).tryTake())) {
-    if (!hasOpenTry(Of) || Leaf)
-      Of.m_RetryAt = Now + RetryDelay;
+    waitOrGiveUp(Of, Leaf != nullptr);
     return;
   }
   if (hasOpenTry(Of))
@@ -244,6 +240,24 @@
   Of.m_HedgeAt = Now + m_HedgeDelay;
 }
 
+void RequestRun::waitOrGiveUp(Part &Of, bool ForToken) {
+  const TimePoint Now = timers().now();
+  if (hasOpenTry(Of)) {
+    if (ForToken)
+      Of.m_RetryAt = Now + RetryDelay;
+    return;
+  }
+  // A search may use a token until its cut; a request to one service is
+  // answered as not run, so that its caller can go elsewhere.
+  const TimePoint GiveUpAt = ForToken && m_Route.m_Kind == RouteKind::Search
+                                 ? m_CutAt
+                                 : m_StartedAt + NothingToSendWait;
+  if (Now >= GiveUpAt)
+    Of.m_Failed = true;
+  else
+    Of.m_RetryAt = std::min(Now + RetryDelay, GiveUpAt);
+}
+
 HttpRequest RequestRun::leafRequest(const LeafView &Leaf) const {
   HttpRequest Out = m_Prototype;
   const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
--- /dev/null
+++ b/src/ragwortdrift/routing/routing_test.cpp
@@ -0,0 +1,184 @@
+#include "ragwortdrift/routing/route_table.hpp"
+#include "ragwortdrift/routing/routing_state.hpp"
+#include "ragwortdrift/testing/table.hpp"
+
+#include <algorithm>
+#include <random>
+
+using namespace ragwortdrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+Route route(const char *Name, const char *Host, const char *Prefix,
+            std::vector<WeightedService> Services) {
+  Route Out;
+  Out.m_Name = Name;
+  Out.m_Host = Host;
+  Out.m_PathPrefix = Prefix;
+  Out.m_Timeout = 500ms;
+  Out.m_Services = std::move(Services);
+  return Out;
+}
+
+WeightedService weighted(const char *Name, double Weight = 1) {
+  return {ServiceName{Name}, Weight};
+}
+
+RouteConfig validConfig() {
+  RouteConfig Out;
+  Out.m_Version = 1;
+  for (const char *Name : {"a", "b"})
+    Out.m_Services.push_back({ServiceName{Name}, "/healthz", 10, 0ms, 0});
+  Out.m_Routes = {
+      route("one", "x.example", "/p/", {weighted("a")}),
+      route("two", "x.example", "/p/q/", {weighted("a", 1), weighted("b", 3)}),
+      route("three", "y.example", "/", {weighted("b")})};
+  return Out;
+}
+
+struct FaultCase {
+  const char *m_Name;
+  void (*m_Change)(RouteConfig &);
+  ConfigErrorCode m_Code;
+  const char *m_Section;
+  const char *m_Key;
+};
+
+const FaultCase FaultCases[] = {
+    {"unknown service",
+     [](RouteConfig &C) { C.m_Routes[0].m_Services = {weighted("none")}; },
+     ConfigErrorCode::UnknownReference, "one", "services"},
+    {"no service", [](RouteConfig &C) { C.m_Routes[0].m_Services.clear(); },
+     ConfigErrorCode::MissingKey, "one", "services"},
+    {"same place", [](RouteConfig &C) { C.m_Routes[1].m_PathPrefix = "/p/"; },
+     ConfigErrorCode::Duplicate, "two", "path prefix"},
+    {"weights of 0",
+     [](RouteConfig &C) {
+       C.m_Routes[1].m_Services = {weighted("a", 0), weighted("b", 0)};
+     },
+     ConfigErrorCode::OutOfRange, "two", "weight"},
+    {"negative weight",
+     [](RouteConfig &C) { C.m_Routes[1].m_Services[0].m_Weight = -1; },
+     ConfigErrorCode::OutOfRange, "two", "weight"},
+    {"no timeout", [](RouteConfig &C) { C.m_Routes[2].m_Timeout = 0ms; },
+     ConfigErrorCode::OutOfRange, "three", "timeout"},
+    {"prefix without slash",
+     [](RouteConfig &C) { C.m_Routes[2].m_PathPrefix = "/r"; },
+     ConfigErrorCode::BadValue, "three", "path prefix"},
+    {"coverage above 1",
+     [](RouteConfig &C) { C.m_Routes[0].m_MinCoverage = 1.5; },
+     ConfigErrorCode::OutOfRange, "one", "coverage"},
+    {"service twice",
+     [](RouteConfig &C) { C.m_Services.push_back(C.m_Services[0]); },
+     ConfigErrorCode::Duplicate, "a", "name"},
+};
+
+struct MatchCase {
+  const char *m_Host;
+  const char *m_Path;
+  const char *m_Route;
+};
+const MatchCase MatchCases[] = {
+    {"x.example", "/p/1", "one"},        {"x.example", "/p/q/1", "two"},
+    {"X.Example:8080", "/p/", "one"},    {"x.example", "/p/q?x=/p/q/r", "one"},
+    {"x.example", "/p", nullptr},        {"x.example", "/other/", nullptr},
+    {"y.example", "/anything", "three"}, {"z.example", "/p/1", nullptr},
+};
+
+struct ShareCase {
+  const char *m_Name;
+  std::vector<double> m_Weights;
+};
+const ShareCase ShareCases[] = {{"equal", {1, 1}},
+                                {"uneven", {1, 9}},
+                                {"one of them 0", {3, 0, 2}},
+                                {"fractions", {0.25, 0.5, 0.125, 0.125}}};
+
+} // namespace
+
+// Guards against an invalid configuration that is put in force, and against a
+// refusal that does not say where the fault is.
+TABLE_TEST(routing, names_the_place_of_each_fault, FaultCases) {
+  cr_assert(checkRouteConfig(validConfig()).empty());
+  RouteConfig Config = validConfig();
+  Row.m_Change(Config);
+  const auto Errors = checkRouteConfig(Config);
+  cr_assert(std::any_of(Errors.begin(), Errors.end(),
+                        [&](const ConfigError &Error) {
+                          return Error.m_Code == Row.m_Code &&
+                                 Error.m_Section == Row.m_Section &&
+                                 Error.m_Key == Row.m_Key;
+                        }),
+            "%s", Row.m_Name);
+}
+
+// Guards against a request that is handled by a shorter prefix or another
+// host's route.
+TABLE_TEST(routing, finds_the_longest_prefix, MatchCases) {
+  const RouteTable Table(validConfig());
+  const Route *Found = Table.find(Row.m_Host, Row.m_Path);
+  cr_assert_eq(Found == nullptr, Row.m_Route == nullptr, "%s", Row.m_Path);
+  if (Found)
+    cr_assert_eq(Found->m_Name, Row.m_Route, "%s", Row.m_Path);
+}
+
+// Guards against shares that are met only on average over a long time.
+TABLE_TEST(routing, meets_weights_at_any_time, ShareCases) {
+  std::vector<WeightedService> Services;
+  double Total = 0;
+  for (const double Weight : Row.m_Weights) {
+    Services.push_back(weighted("s", Weight));
+    Total += Weight;
+  }
+  WeightedTurn Turn;
+  std::vector<int> Counts(Services.size());
+  for (int Round = 1; Round <= 1000; ++Round) {
+    ++Counts[Turn.next(Services)];
+    for (std::size_t I = 0; I < Services.size(); ++I)
+      cr_assert_lt(std::abs(Counts[I] - Round * Row.m_Weights[I] / Total), 2,
+                   "%s, round %d", Row.m_Name, Round);
+  }
+}
+
+// Guards against an order that is refused when it is sent again, against a
+// state that goes back, and against another content under a held version. The
+// model is the list of orders read from the start.
+Test(routing, orders_agree_with_a_sequential_model) {
+  for (unsigned Seed = 1; Seed <= 200; ++Seed) {
+    std::mt19937 Random(Seed);
+    RoutingState State;
+    ConfigText Highest;
+    std::set<FailureDomain> Out;
+    for (int Step = 0; Step < 100; ++Step) {
+      const std::uint64_t Revision = State.m_Revision;
+      if (Random() % 3 == 0) {
+        const FailureDomain Domain{std::string(1, char('a' + Random() % 3))};
+        const bool TakeOut = Random() % 2 == 0;
+        const bool Changes = Out.contains(Domain) != TakeOut;
+        const auto Outcome = applyOrder(State, SetDomainOut{Domain, TakeOut});
+        cr_assert_eq(Outcome, Changes ? OrderOutcome::Accepted
+                                      : OrderOutcome::Unchanged);
+        TakeOut ? (void)Out.insert(Domain) : (void)Out.erase(Domain);
+      } else {
+        const ConfigText Given{1 + Random() % 40,
+                               Random() % 2 == 0 ? "left" : "right"};
+        const auto Outcome = applyOrder(State, SetConfig{Given});
+        if (Given.m_Version > Highest.m_Version) {
+          cr_assert_eq(Outcome, OrderOutcome::Accepted);
+          Highest = Given;
+        } else if (Given.m_Version == Highest.m_Version) {
+          cr_assert_eq(Outcome, Given == Highest ? OrderOutcome::Unchanged
+                                                 : OrderOutcome::OtherContent);
+        } else {
+          cr_assert_eq(Outcome, OrderOutcome::Unchanged);
+        }
+      }
+      cr_assert(State.m_Config == Highest, "seed %u, step %d", Seed, Step);
+      cr_assert(State.m_DomainsOut == Out, "seed %u, step %d", Seed, Step);
+      cr_assert_geq(State.m_Revision, Revision);
+      const auto Restored = decode<RoutingState>(encode(State));
+      cr_assert(isOk(Restored) && valueOf(Restored) == State);
+    }
+  }
+}
