Restart the core faster, read the list at start, leave the rotation when isolated

Change: first election timeout of 150 ms at most; a core VM reports its state only once its log is replayed; a new leader, and an entry VM without a list after 150 ms, read the list at once; an entry VM that reaches no leaf of other domains and cannot cover a route fails its readiness and closes connections; silent leafs are verified; Retry-After of 500 ms while no configuration is known; smallest connection share until the fleet's size is known.

--- a/include/ragwortdrift/consensus/raft_core.hpp
+++ b/include/ragwortdrift/consensus/raft_core.hpp
@@ -26,6 +26,10 @@
   unsigned m_HeartbeatTicks = 5;
   unsigned m_ElectionTicksMin = 20;
   unsigned m_ElectionTicksMax = 40;
+  /// Bound of the first timeout after the start; 0 for that of all others. A
+  /// cluster whose voters restart together elects sooner with a short one, and
+  /// pre-vote keeps a single restarted voter from disturbing a leader.
+  unsigned m_FirstElectionTicksMax = 0;
   /// Bound of the payload bytes in one append message and of a snapshot part.
   std::size_t m_MaxMessageBytes = std::size_t{256} * 1024;
   /// Entries before a snapshot that stay in memory for followers that lag a
--- a/include/ragwortdrift/dispatch/dispatcher.hpp
+++ b/include/ragwortdrift/dispatch/dispatcher.hpp
@@ -66,7 +66,14 @@
   std::shared_ptr<RequestRun> dispatch(const HttpRequest &Request,
                                        AnswerFn Answer);
 
-  bool ready() const { return m_Routes && !m_Leafs.empty(); }
+  /// Whether requests can be served: a configuration and a list of leafs are
+  /// known and this VM is not isolated.
+  bool ready() const { return m_Routes && !m_Leafs.empty() && !m_Isolated; }
+  /// Whether leafs of other failure domains have become unreachable and those
+  /// of its own are not enough. Other VMs serve callers better then.
+  bool isolated() const { return m_Isolated; }
+  /// Looks whether the VM is isolated. Called periodically.
+  void checkIsolation();
   std::size_t inFlight() const { return m_InFlight; }
   MetricsRegistry &metrics() { return m_Metrics; }
   /// Logs how many decisions were left out. Called once a second.
@@ -83,6 +90,10 @@
   void onProbe(const std::shared_ptr<LeafView> &View, Duration RetryDelay,
                const Result<HttpResponse, HttpError> &Outcome);
   double burst() const;
+  /// Notes whether a leaf could be reached at all.
+  void onReached(const LeafView &Leaf);
+  void onUnreached(const LeafView &Leaf);
+  bool canServe(const Route &Of) const;
 
   TimerService &m_Timers;
   LeafTransport &m_Transport;
@@ -96,13 +107,18 @@
   std::map<LeafId, TimerService::Subscription> m_Probes;
   std::size_t m_EntryCount = 1;
   std::size_t m_InFlight = 0;
+  /// Of leafs in other failure domains.
+  TimePoint m_ReachedOthersAt;
+  std::size_t m_UnreachedOthers = 0;
+  bool m_Isolated = false;
   MetricsRegistry m_Metrics;
   DecisionLog m_Log;
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
 };
 
-/// A refusal that promises that the request did not run.
-HttpResponse notRunResponse(std::string_view Reason);
+/// A refusal that promises that the request did not run, and says when to come
+/// back.
+HttpResponse notRunResponse(std::string_view Reason, Duration RetryAfter);
 
 } // namespace ragwortdrift
 
--- a/include/ragwortdrift/dispatch/leaf_view.hpp
+++ b/include/ragwortdrift/dispatch/leaf_view.hpp
@@ -92,6 +92,7 @@
          const std::vector<std::shared_ptr<LeafView>> &Excluded,
          std::mt19937_64 &Engine) const;
   std::shared_ptr<LeafView> find(const LeafId &Id) const;
+  bool hasUsable(const ServiceName &Service, TimePoint Now) const;
   bool empty() const { return m_Leafs.empty(); }
   std::size_t size() const { return m_Leafs.size(); }
 
--- a/include/ragwortdrift/dispatch/request_run.hpp
+++ b/include/ragwortdrift/dispatch/request_run.hpp
@@ -107,7 +107,6 @@
   Duration hedgeDelay() const;
 
   // Answer.
-  std::size_t requiredParts() const;
   void evaluate();
   void finish(FinishCause Cause);
   HttpResponse mergedAnswer() const;
--- a/include/ragwortdrift/fleet/core_node.hpp
+++ b/include/ragwortdrift/fleet/core_node.hpp
@@ -80,6 +80,12 @@
   void onWatch(const PeerRequest &Request, const Stream &Out);
   void report(Watcher &To, bool WithLeafs);
   void reportAll(bool WithLeafs);
+  /// Reports once for all entries that are applied together.
+  void reportSoon();
+  /// Whether the state applied here was up to date at some time since the log
+  /// was opened. Until then the log is replayed, and older states must not
+  /// reach a VM that has just started.
+  bool serves();
   std::uint32_t entryCount();
   void readLeafs();
   bool listIsFresh() const;
@@ -101,6 +107,7 @@
   std::size_t m_NextCore = 0;
   TimePoint m_LeaderSeenAt;
   bool m_Leads = false;
+  bool m_Serves = false;
   bool m_ChangingVoters = false;
   bool m_Stopping = false;
   std::map<std::uint64_t, Watcher> m_Watchers;
@@ -111,6 +118,7 @@
   MetricsRegistry m_Metrics;
   std::vector<TimerService::Subscription> m_Periodic;
   TimerService::Subscription m_ListTimer;
+  TimerService::Subscription m_ReportTimer;
 };
 
 } // namespace ragwortdrift
--- a/include/ragwortdrift/fleet/entry_control.hpp
+++ b/include/ragwortdrift/fleet/entry_control.hpp
@@ -52,6 +52,7 @@
   void onReport(const std::string &From, const CoreReport &Report);
   void takeState(const std::string &From, const RoutingState &State);
   void checkList();
+  void readList();
 
   FleetSettings m_Settings;
   TimerService m_Timers;
@@ -69,6 +70,8 @@
   TimePoint m_ListHeardAt;
   TimePoint m_ListAskedAt;
   std::uint64_t m_CallsOfLastRead = 1;
+  bool m_HasList = false;
+  TimerService::Subscription m_FirstListTimer;
   std::vector<TimerService::Subscription> m_Periodic;
 };
 
--- a/include/ragwortdrift/routing/route_config.hpp
+++ b/include/ragwortdrift/routing/route_config.hpp
@@ -59,6 +59,9 @@
   friend bool operator==(const Route &, const Route &) = default;
 };
 
+/// How many services of a route have to answer for a success.
+std::size_t requiredParts(const Route &Of);
+
 /// What is known of a service beside its leafs.
 struct RoutedService {
   ServiceName m_Name;
--- a/src/ragwortdrift/consensus/raft_core.cpp
+++ b/src/ragwortdrift/consensus/raft_core.cpp
@@ -34,6 +34,9 @@
   }
   m_Handed = m_Persisted = m_Log.lastIndex();
   resetElectionTimer();
+  if (m_Options.m_FirstElectionTicksMax > 0)
+    m_Timeout = 1 + static_cast<unsigned>(m_Engine() %
+                                          m_Options.m_FirstElectionTicksMax);
 }
 
 void RaftCore::tick() {
--- a/src/ragwortdrift/consensus/replicated_log.cpp
+++ b/src/ragwortdrift/consensus/replicated_log.cpp
@@ -19,6 +19,8 @@
       static_cast<unsigned>(Options.m_ElectionTimeoutMin / Options.m_Tick);
   Out.m_ElectionTicksMax =
       static_cast<unsigned>(Options.m_ElectionTimeoutMax / Options.m_Tick);
+  Out.m_FirstElectionTicksMax =
+      static_cast<unsigned>(Options.m_FirstElectionTimeoutMax / Options.m_Tick);
   Out.m_MaxMessageBytes = Options.m_MaxMessageBytes;
   Out.m_TrailingEntries = Options.m_TrailingEntries;
   return Out;
--- a/src/ragwortdrift/dispatch/dispatcher.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher.cpp
@@ -23,9 +23,15 @@
 constexpr std::chrono::milliseconds ProbeTimeout{400};
 constexpr std::chrono::milliseconds FirstProbeRetry{250};
 constexpr std::chrono::milliseconds LastProbeRetry{1500};
-/// Time a caller should wait after a refusal, in seconds. Refusals are short
-/// spells of overload or of a shard without leafs.
-constexpr const char *RetryAfterSeconds = "0.1";
+/// Time a caller should wait after a refusal: spells of overload or of a shard
+/// without leafs are short, and a VM that starts needs longer.
+constexpr std::chrono::milliseconds BusyRetryAfter{100};
+constexpr std::chrono::milliseconds StartRetryAfter{500};
+/// A VM is isolated when no leaf of another failure domain was reached for this
+/// long and this many attempts failed. A pause of a leaf is shorter, and lost
+/// leafs fail fewer attempts while others are reached.
+constexpr std::chrono::milliseconds IsolationTime{500};
+constexpr std::size_t IsolationAttempts = 10;
 /// Longest wait that a caller may ask for.
 constexpr std::chrono::minutes MaxWait{10};
 
@@ -40,11 +46,15 @@
 
 } // namespace
 
-HttpResponse notRunResponse(std::string_view Reason) {
+HttpResponse notRunResponse(std::string_view Reason, Duration RetryAfter) {
   HttpResponse Out =
       jsonResponse(503, R"({"error":"unavailable","not_run":true,"detail":")" +
                             std::string(Reason) + "\"}");
-  Out.set(http::field::retry_after, RetryAfterSeconds);
+  const auto Millis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(RetryAfter).count();
+  const std::string Fraction = std::to_string(1000 + Millis % 1000).substr(1);
+  Out.set(http::field::retry_after,
+          std::to_string(Millis / 1000) + "." + Fraction);
   return Out;
 }
 
@@ -157,6 +167,10 @@
     m_Probes.erase(Id);
     return;
   }
+  if (isOk(Outcome))
+    onReached(*View);
+  else
+    onUnreached(*View);
   const bool Healthy = isOk(Outcome) && valueOf(Outcome).result_int() == 200 &&
                        valueOf(Outcome)[m_Protocol.m_LeafId] == Id.m_Value;
   std::optional<Duration> ColdFor;
@@ -182,6 +196,43 @@
   m_Probes.erase(Id);
 }
 
+void Dispatcher::onReached(const LeafView &Leaf) {
+  if (Leaf.listed().m_Domain == m_Options.m_Domain)
+    return;
+  m_ReachedOthersAt = m_Timers.now();
+  m_UnreachedOthers = 0;
+}
+
+void Dispatcher::onUnreached(const LeafView &Leaf) {
+  if (Leaf.listed().m_Domain != m_Options.m_Domain)
+    ++m_UnreachedOthers;
+}
+
+bool Dispatcher::canServe(const Route &Of) const {
+  const auto Usable = static_cast<std::size_t>(
+      std::count_if(Of.m_Services.begin(), Of.m_Services.end(),
+                    [&](const WeightedService &Each) {
+                      return m_Leafs.hasUsable(Each.m_Service, m_Timers.now());
+                    }));
+  return Usable >= requiredParts(Of);
+}
+
+void Dispatcher::checkIsolation() {
+  if (!m_Routes)
+    return;
+  const std::vector<Route> &Routes = m_Routes->config().m_Routes;
+  const bool OthersSilent = m_UnreachedOthers >= IsolationAttempts &&
+                            m_Timers.now() - m_ReachedOthersAt >= IsolationTime;
+  const bool Isolated =
+      OthersSilent &&
+      !std::all_of(Routes.begin(), Routes.end(),
+                   [&](const Route &Each) { return canServe(Each); });
+  if (std::exchange(m_Isolated, Isolated) != Isolated)
+    logEvent(LogSeverity::Warning, Isolated ? "vm.isolated" : "vm.rejoined",
+             {{"failed_attempts", m_UnreachedOthers},
+              {"others_silent_ms", m_Timers.now() - m_ReachedOthersAt}});
+}
+
 std::shared_ptr<RequestRun> Dispatcher::dispatch(const HttpRequest &Request,
                                                  AnswerFn Answer) {
   const auto Refuse = [&](HttpResponse Response, std::string_view Cause) {
@@ -199,7 +250,8 @@
     return std::shared_ptr<RequestRun>();
   };
   if (!m_Routes)
-    return Refuse(notRunResponse("no configuration yet"), "no_configuration");
+    return Refuse(notRunResponse("no configuration yet", StartRetryAfter),
+                  "no_configuration");
   const auto Host = Request[http::field::host];
   const auto Target = Request.target();
   const Route *Found = m_Routes->find({Host.data(), Host.size()},
@@ -217,7 +269,8 @@
         jsonResponse(400, R"({"error":"bad_request","not_run":true})"),
         "bad_request");
   if (m_InFlight >= m_Options.m_MaxInFlight)
-    return Refuse(notRunResponse("too many requests in work"), "overloaded");
+    return Refuse(notRunResponse("too many requests in work", BusyRetryAfter),
+                  "overloaded");
   auto Run = std::make_shared<RequestRun>(*this, m_Routes, *Found, Request,
                                           *Wait, std::move(Answer));
   Run->start();
--- a/src/ragwortdrift/dispatch/dispatcher_test.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher_test.cpp
@@ -85,6 +85,21 @@
      100ms},
 };
 
+struct IsolationCase {
+  const char *m_Name;
+  /// Whether the VM's own domain has a leaf of each shard.
+  bool m_HasOwnLeafs;
+  /// Whether all leafs of the other domains are cut off, or all but those of
+  /// one shard.
+  bool m_CutsAll;
+  bool m_Isolated;
+};
+const IsolationCase IsolationCases[] = {
+    {"cut off without own leafs", false, true, true},
+    {"cut off with own leafs", true, true, false},
+    {"many leafs lost", false, false, false},
+};
+
 struct BarCase {
   const char *m_Name;
   void (*m_Change)(DispatchFixture &);
@@ -349,6 +364,53 @@
   cr_assert(UsesFirst());
 }
 
+// Guards against a VM that is cut off from the other failure domains and keeps
+// taking searches that it cannot answer, and against one that leaves the
+// rotation because some leafs are lost.
+TABLE_TEST(dispatch, is_isolated_when_cut_off_from_the_other_domains,
+           IsolationCases) {
+  DispatchFixture F;
+  LeafList List = F.leafs();
+  std::erase_if(List, [&](const ListedLeaf &Leaf) {
+    return Row.m_HasOwnLeafs ? false
+                             : Leaf.m_Domain == FailureDomain{"d1"} &&
+                                   Leaf.m_Service.m_Value != "one";
+  });
+  F.m_Dispatcher.setLeafs(List);
+  cr_assert(F.m_Dispatcher.ready());
+  const auto IsCut = [&](const ListedLeaf &Leaf) {
+    return Leaf.m_Domain != FailureDomain{"d1"} &&
+           (Row.m_CutsAll || Leaf.m_Service.m_Value != "s1");
+  };
+  const auto Run = [&](bool Cut) {
+    for (int I = 0; I < 40; ++I) {
+      F.ask("/s/", 600);
+      for (int Tick = 0; Tick < 15; ++Tick) {
+        F.pass(10ms);
+        for (const auto &[Id, Each] : std::map(F.m_Transport.m_Open)) {
+          if (!F.m_Transport.m_Open.contains(Id))
+            continue;
+          if (Cut && IsCut(Each.m_Leaf)) {
+            F.m_Transport.end(Id, F.unsent());
+          } else if (FakeTransport::isProbe(Each)) {
+            HttpResponse Healthy{boost::beast::http::status::ok, 11};
+            Healthy.set("T-Leaf", Each.m_Leaf.m_Id.m_Value);
+            F.m_Transport.end(Id, Healthy);
+          } else {
+            F.m_Transport.end(Id, F.answerOf(Id));
+          }
+        }
+      }
+      F.m_Dispatcher.checkIsolation();
+    }
+  };
+  Run(true);
+  cr_assert_eq(F.m_Dispatcher.isolated(), Row.m_Isolated, "%s", Row.m_Name);
+  cr_assert_eq(F.m_Dispatcher.ready(), !Row.m_Isolated, "%s", Row.m_Name);
+  Run(false);
+  cr_assert(F.m_Dispatcher.ready(), "%s", Row.m_Name);
+}
+
 // Guards against leafs that go on working for a caller that has left.
 Test(dispatch, ends_all_tries_of_a_caller_that_left) {
   DispatchFixture F;
--- a/src/ragwortdrift/dispatch/leaf_view.cpp
+++ b/src/ragwortdrift/dispatch/leaf_view.cpp
@@ -165,6 +165,14 @@
   return Best;
 }
 
+bool LeafDirectory::hasUsable(const ServiceName &Service, TimePoint Now) const {
+  const auto Leafs = m_Services.find(Service);
+  return Leafs != m_Services.end() &&
+         std::any_of(
+             Leafs->second.begin(), Leafs->second.end(),
+             [&](const auto &View) { return View->bar(Now) == LeafBar::None; });
+}
+
 std::shared_ptr<LeafView> LeafDirectory::find(const LeafId &Id) const {
   const auto Found = m_Leafs.find(Id);
   return Found == m_Leafs.end() ? nullptr : Found->second;
--- a/src/ragwortdrift/dispatch/request_run.cpp
+++ b/src/ragwortdrift/dispatch/request_run.cpp
@@ -26,6 +26,8 @@
 /// of its request. A leaf that is being verified is back within a probe, some
 /// 10 ms.
 constexpr std::chrono::milliseconds NothingToSendWait{60};
+/// Time a caller should wait when no leaf could run its request.
+constexpr std::chrono::milliseconds RefusalRetryAfter{100};
 /// Sends of one part, refused ones included.
 constexpr std::size_t MaxSends = 6;
 /// After the answer, open tries may end by themselves for this long, so that
@@ -33,7 +35,7 @@
 constexpr std::chrono::milliseconds DrainTime{150};
 /// A try that is given up after this is a sign of a silent leaf; shorter ones
 /// may be a pause.
-constexpr std::chrono::milliseconds SilenceTime{200};
+constexpr std::chrono::milliseconds SilenceTime{180};
 /// Hedging: quantile of the route's leaf latency, samples that it needs, and
 /// bounds as a share of the objective.
 constexpr double HedgeQuantile = 0.95;
@@ -291,6 +293,7 @@
   LeafView &Leaf = *Ended.m_Leaf;
   Leaf.onEnded(Ended.m_Overdue);
   if (isOk(Outcome)) {
+    m_Owner.onReached(Leaf);
     const HttpResponse &Response = valueOf(Outcome);
     const auto Load = Response[m_Owner.m_Protocol.m_Load];
     if (const auto Queue = queueOf({Load.data(), Load.size()}))
@@ -313,8 +316,10 @@
   case TryOutcome::Unsent:
     Leaf.onFailure(Now);
     if (!isOk(Outcome) &&
-        errorOf(Outcome).m_Code == HttpErrorCode::ConnectFailed)
+        errorOf(Outcome).m_Code == HttpErrorCode::ConnectFailed) {
+      m_Owner.onUnreached(*Ended.m_Leaf);
       m_Owner.verify(Ended.m_Leaf, "connect failed", Duration{0});
+    }
     break;
   default:
     Leaf.onFailure(Now);
@@ -354,8 +359,11 @@
   Given.m_Outcome = TryOutcome::Abandoned;
   Given.m_EndedAt = timers().now();
   Given.m_Leaf->onEnded(Given.m_Overdue);
-  if (Given.m_EndedAt - Given.m_SentAt >= SilenceTime)
-    Given.m_Leaf->onSilence(Given.m_EndedAt);
+  if (Given.m_EndedAt - Given.m_SentAt < SilenceTime)
+    return;
+  Given.m_Leaf->onSilence(Given.m_EndedAt);
+  m_Owner.onUnreached(*Given.m_Leaf);
+  m_Owner.verify(Given.m_Leaf, "no answer", Duration{0});
 }
 
 void RequestRun::markOverdue(Part &Of) {
@@ -413,17 +421,6 @@
                            });
 }
 
-std::size_t RequestRun::requiredParts() const {
-  if (m_Route.m_Kind == RouteKind::Single)
-    return 1;
-  const double Exact =
-      m_Route.m_MinCoverage * static_cast<double>(m_Parts.size());
-  // The share is compared with one computed by division, so a rounding error
-  // must not ask for one part more.
-  return std::max<std::size_t>(
-      1, static_cast<std::size_t>(std::ceil(Exact - 1e-9)));
-}
-
 void RequestRun::evaluate() {
   if (m_Finished)
     return;
@@ -434,7 +431,7 @@
   const auto Failed = static_cast<std::size_t>(
       std::count_if(m_Parts.begin(), m_Parts.end(),
                     [](const Part &Each) { return Each.m_Failed; }));
-  const std::size_t Required = requiredParts();
+  const std::size_t Required = requiredParts(m_Route);
   const TimePoint Now = timers().now();
   if (Answered + Failed == m_Parts.size())
     finish(Answered >= Required ? FinishCause::Complete
@@ -492,7 +489,7 @@
     const auto Signature = (*Each.m_Answer)[m_Owner.m_Protocol.m_Signature];
     Signatures += (Signatures.empty() ? "" : ", ") + std::string(Signature);
   }
-  if (Bodies.size() < requiredParts())
+  if (Bodies.size() < requiredParts(m_Route))
     return HttpResponse{http::status::bad_gateway, 11};
   Out.set(m_Owner.m_Protocol.m_RequestId, m_RequestId);
   Out.set(m_Owner.m_Protocol.m_PartSignatures, Signatures);
@@ -516,7 +513,7 @@
 
 HttpResponse RequestRun::failure(FinishCause Cause) const {
   if (nothingRan())
-    return notRunResponse("no leaf could run the request");
+    return notRunResponse("no leaf could run the request", RefusalRetryAfter);
   return jsonResponse(Cause == FinishCause::Deadline ? 504 : 502,
                       Cause == FinishCause::Deadline
                           ? R"({"error":"deadline_exceeded","not_run":false})"
--- a/src/ragwortdrift/fleet/core_members.cpp
+++ b/src/ragwortdrift/fleet/core_members.cpp
@@ -24,6 +24,8 @@
 /// Time between reads of the list of leafs. A leaving leaf must get no request
 /// 3 s after the list shows it.
 constexpr std::chrono::milliseconds ListInterval{1000};
+/// A new leader starts to read the list within this.
+constexpr std::chrono::milliseconds LeaderCheckInterval{50};
 /// Share of the list's rate that its one regular reader may use.
 constexpr double ListRateShare = 0.4;
 constexpr std::chrono::milliseconds ListFreshFor{2500};
@@ -175,7 +177,7 @@
 
 void CoreNode::report(Watcher &To, bool WithLeafs) {
   CoreReport Out;
-  if (m_State.m_Revision > To.m_SentRevision) {
+  if (serves() && m_State.m_Revision > To.m_SentRevision) {
     Out.m_State = m_State;
     To.m_SentRevision = m_State.m_Revision;
   }
@@ -189,6 +191,24 @@
   Stream->send(encode(Out));
 }
 
+bool CoreNode::serves() {
+  if (m_Serves || !m_Log)
+    return m_Serves;
+  const ReplicatedLogStatus Status = m_Log->status();
+  m_Serves = Status.m_Leader && Status.m_AppliedIndex > 0 &&
+             Status.m_AppliedIndex == Status.m_LastIndex &&
+             findVoter(Status, VmId{m_Address});
+  return m_Serves;
+}
+
+void CoreNode::reportSoon() {
+  if (!m_ReportTimer)
+    m_ReportTimer = m_Timers.after(Duration{0}, [this] {
+      m_ReportTimer.reset();
+      reportAll(false);
+    });
+}
+
 void CoreNode::reportAll(bool WithLeafs) {
   // A report that cannot be sent may end its watcher.
   std::vector<std::uint64_t> Ids;
@@ -216,6 +236,10 @@
 }
 
 void CoreNode::readLeafs() {
+  if (!isLeader()) {
+    m_ListTimer = m_Timers.after(LeaderCheckInterval, [this] { readLeafs(); });
+    return;
+  }
   const std::uint64_t CallsBefore = m_List.calls();
   const auto Again = [this, CallsBefore] {
     const double Calls = static_cast<double>(m_List.calls() - CallsBefore);
@@ -224,10 +248,6 @@
     m_ListTimer = m_Timers.after(std::max<Duration>(ListInterval, ByRate),
                                  [this] { readLeafs(); });
   };
-  if (!isLeader()) {
-    Again();
-    return;
-  }
   m_List.read([this, Again](Result<LeafList, ListError> Outcome) {
     if (isOk(Outcome)) {
       const bool Changed = !m_ListReadAt || valueOf(Outcome) != m_Leafs;
--- a/src/ragwortdrift/fleet/core_node.cpp
+++ b/src/ragwortdrift/fleet/core_node.cpp
@@ -23,6 +23,9 @@
 /// on small disks.
 constexpr LogIndex SnapshotEntries = 100;
 constexpr LogIndex TrailingEntries = 20;
+/// Voters that restart together elect within this; voters that hear a leader
+/// refuse an early candidate.
+constexpr std::chrono::milliseconds FirstElectionTimeout{150};
 constexpr std::size_t MaxKeptOutcomes = 1024;
 
 } // namespace
@@ -66,6 +69,7 @@
       Options.m_FirstVoters.push_back(
           {VmId{formatEndpoint(Core)}, formatEndpoint(Core)});
   Options.m_Seed = stableHash(m_Address, std::random_device{}());
+  Options.m_FirstElectionTimeoutMax = FirstElectionTimeout;
   Options.m_SnapshotEntries = SnapshotEntries;
   Options.m_TrailingEntries = TrailingEntries;
   ReplicatedLogCallbacks Callbacks;
@@ -83,6 +87,7 @@
     boost::asio::post(m_Io, std::move(Fn));
   };
   m_State = {};
+  m_Serves = false;
   m_Log = std::make_unique<ReplicatedLog>(
       std::move(Options), PosixFiles(m_Settings.m_Folder->string()), m_Timers,
       std::move(Callbacks));
@@ -147,7 +152,7 @@
       m_Outcomes.erase(m_Outcomes.begin());
   }
   if (Outcome == OrderOutcome::Accepted)
-    reportAll(false);
+    reportSoon();
 }
 
 void CoreNode::onRestored(const std::string &Bytes) {
@@ -159,7 +164,7 @@
     return;
   }
   m_State = valueOf(std::move(Restored));
-  reportAll(false);
+  reportSoon();
 }
 
 void CoreNode::sendOneWay(const std::string &Address, const char *Path,
--- a/src/ragwortdrift/fleet/entry_control.cpp
+++ b/src/ragwortdrift/fleet/entry_control.cpp
@@ -15,6 +15,9 @@
 /// A watch is opened anew after this, since a call needs a deadline.
 constexpr std::chrono::hours WatchTime{1};
 constexpr std::chrono::milliseconds ListCheckInterval{500};
+/// An entry VM that has just started reads the list itself if no core VM has
+/// sent it within this.
+constexpr std::chrono::milliseconds FirstListWait{150};
 /// Without news of the list for this long an entry VM reads it itself. Core
 /// VMs report every 500 ms, and elect a new leader within a second.
 constexpr std::chrono::milliseconds ListSilence{2500};
@@ -39,6 +42,10 @@
   m_ListHeardAt = m_Timers.now();
   m_ListAskedAt = m_Timers.now();
   setCores(m_Settings.m_Cores);
+  m_FirstListTimer = m_Timers.after(FirstListWait, [this] {
+    if (!m_HasList)
+      readList();
+  });
   m_Periodic.push_back(
       m_Timers.every(ListCheckInterval, [this] { checkList(); }));
 }
@@ -111,8 +118,10 @@
     takeState(From, *Report.m_State);
   if (Report.m_ReadsList)
     m_ListHeardAt = m_Timers.now();
-  if (Report.m_Leafs)
+  if (Report.m_Leafs) {
+    m_HasList = true;
     m_Updates.m_Leafs(*Report.m_Leafs);
+  }
   // Different core VMs may have seen different entry VMs.
   if (Report.m_EntryCount > m_EntryCount) {
     m_EntryCount = Report.m_EntryCount;
@@ -155,15 +164,21 @@
   const Duration ByRate(static_cast<Duration::rep>(
       1e6 * Calls / (m_Settings.m_LeafListRate * OwnListRateShare)));
   if (Now - m_ListHeardAt < ListSilence ||
-      Now - m_ListAskedAt < std::max<Duration>(OwnListInterval, ByRate) ||
-      m_List.reading())
+      Now - m_ListAskedAt < std::max<Duration>(OwnListInterval, ByRate))
+    return;
+  readList();
+}
+
+void EntryControl::readList() {
+  if (m_List.reading())
     return;
-  m_ListAskedAt = Now;
+  m_ListAskedAt = m_Timers.now();
   const std::uint64_t Before = m_List.calls();
   m_List.read([this, Before](Result<LeafList, ListError> Outcome) {
     m_CallsOfLastRead = std::max<std::uint64_t>(m_List.calls() - Before, 1);
     if (!isOk(Outcome))
       return;
+    m_HasList = true;
     logEvent(LogSeverity::Info, "leaf_list.read_here",
              {{"leafs", valueOf(Outcome).size()}});
     m_Updates.m_Leafs(valueOf(std::move(Outcome)));
--- a/src/ragwortdrift/fleet/entry_traffic.cpp
+++ b/src/ragwortdrift/fleet/entry_traffic.cpp
@@ -13,7 +13,11 @@
 /// for VMs that are not known yet and for probes.
 constexpr double ConnectionShare = 0.9;
 constexpr std::chrono::milliseconds IdleCheckInterval{300};
+constexpr std::chrono::milliseconds IsolationCheckInterval{200};
 constexpr std::chrono::seconds SecondInterval{1};
+/// For this long after the start the number of entry VMs may not be known yet,
+/// so only the pool's smallest share of connections is used.
+constexpr std::chrono::seconds SettleTime{3};
 /// The balancer asks for readiness once a second and needs two misses, so new
 /// connections come for two seconds after a stop began.
 constexpr std::chrono::milliseconds AcceptTime{2600};
@@ -68,6 +72,8 @@
 
 Result<Done, HttpError> EntryTraffic::start() {
   m_Driver.start();
+  m_StartedAt = m_Timers.now();
+  m_Periodic.push_back(m_Timers.after(SettleTime, [this] { updateShares(); }));
   struct Listener {
     HttpServer &m_Server;
     const std::optional<Endpoint> &m_Address;
@@ -85,6 +91,8 @@
   }
   m_Periodic.push_back(
       m_Timers.every(IdleCheckInterval, [this] { m_Pool.closeIdle(); }));
+  m_Periodic.push_back(m_Timers.every(
+      IsolationCheckInterval, [this] { m_Dispatcher.checkIsolation(); }));
   m_Periodic.push_back(m_Timers.every(SecondInterval, [this] {
     m_Dispatcher.flushLog();
     m_Dispatcher.metrics().endPeriod();
@@ -114,7 +122,7 @@
 }
 
 void EntryTraffic::updateShares() {
-  if (!m_Routes)
+  if (!m_Routes || m_Timers.now() - m_StartedAt < SettleTime)
     return;
   for (const RoutedService &Service : m_Routes->config().m_Services)
     m_Pool.setShare(
@@ -125,7 +133,10 @@
 
 void EntryTraffic::onCaller(const std::shared_ptr<HttpExchange> &Exchange) {
   const auto Run =
-      m_Dispatcher.dispatch(Exchange->request(), [Exchange](HttpResponse Out) {
+      m_Dispatcher.dispatch(Exchange->request(), [=, this](HttpResponse Out) {
+        // The caller's next connection goes to a VM that can serve it.
+        if (m_Dispatcher.isolated())
+          Out.set(boost::beast::http::field::connection, "close");
         Exchange->respond(std::move(Out));
       });
   if (Run)
--- a/src/ragwortdrift/net/http_server.cpp
+++ b/src/ragwortdrift/net/http_server.cpp
@@ -96,8 +96,9 @@
   }
 
   void write(HttpResponse Response) {
-    m_KeepAlive = m_Current->request().keep_alive() && !m_Server.m_Stopping &&
-                  !m_ReadEnded;
+    const bool Closes =
+        Response[http::field::connection] == "close" || m_Server.m_Stopping;
+    m_KeepAlive = m_Current->request().keep_alive() && !Closes && !m_ReadEnded;
     Response.version(m_Current->request().version());
     Response.keep_alive(m_KeepAlive);
     endExchange();
--- a/src/ragwortdrift/net/http_server_test.cpp
+++ b/src/ragwortdrift/net/http_server_test.cpp
@@ -172,6 +172,24 @@
   cr_assert(Setup.runUntil([&] { return Setup.m_Server.connections() == 0; }));
 }
 
+// Guards against a connection that stays open although the handler wants its
+// caller to connect elsewhere.
+Test(http_server, closes_a_connection_when_the_answer_says_so) {
+  Fixture Setup([](const std::shared_ptr<HttpExchange> &Exchange) {
+    HttpResponse Out = jsonResponse(503, "elsewhere");
+    Out.set(boost::beast::http::field::connection, "close");
+    Exchange->respond(std::move(Out));
+  });
+  tcp::socket Caller = Setup.connect();
+  asio::write(Caller, asio::buffer(requestText("x")));
+  std::string Text;
+  cr_assert(Setup.runUntil([&] {
+    readMore(Caller, Text);
+    return holdsInOrder(Text, {"503", "Connection: close", "elsewhere"});
+  }));
+  cr_assert(Setup.runUntil([&] { return Setup.m_Server.connections() == 0; }));
+}
+
 struct StopCase {
   const char *m_Name;
   /// Whether the server's handlers run between the request and the stop.
--- a/src/ragwortdrift/routing/route_config.cpp
+++ b/src/ragwortdrift/routing/route_config.cpp
@@ -1,5 +1,6 @@
 #include "ragwortdrift/routing/route_config.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <map>
 #include <set>
@@ -75,6 +76,17 @@
 
 } // namespace
 
+std::size_t requiredParts(const Route &Of) {
+  if (Of.m_Kind == RouteKind::Single)
+    return 1;
+  const double Exact =
+      Of.m_MinCoverage * static_cast<double>(Of.m_Services.size());
+  // The share is compared with one computed by division, so a rounding error
+  // must not ask for one part more.
+  return std::max<std::size_t>(
+      1, static_cast<std::size_t>(std::ceil(Exact - 1e-9)));
+}
+
 std::vector<ConfigError> checkRouteConfig(const RouteConfig &Config) {
   return RouteChecker(Config).check();
 }
