--- a/src/ragwortdrift/dispatch/leaf_pool.cpp
+++ b/src/ragwortdrift/dispatch/leaf_pool.cpp
@@ -11,6 +11,8 @@
 
 /// Time for a TCP connection within a region; a leaf needs a few milliseconds.
 constexpr std::chrono::milliseconds ConnectTimeout{250};
+/// A request with less time left is not sent.
+constexpr std::chrono::milliseconds MinTimeout{1};
 /// Connections of one leaf until its service's share is known.
 constexpr std::uint32_t DefaultShare = 2;
 /// Idle connections are closed this long before the leaf would close them, so
@@ -75,6 +77,7 @@
           return;
         std::erase(Of->m_Waiting, Late);
         finish(Late, HttpError{HttpErrorCode::Timeout, false, "no slot"});
+        startNext(Of);
       });
   startNext(Of);
   return Item->m_Id;
@@ -95,6 +98,9 @@
 void LeafPool::startNext(const LeafPtr &Of) {
   while (!Of->m_Waiting.empty()) {
     const auto Item = Of->m_Waiting.front();
+    // Its timer ends it; it must not be sent in the meantime.
+    if (Item->m_Deadline - m_Timers.now() < MinTimeout)
+      return;
     if (const Connection Kept = takeIdle(*Of)) {
       Of->m_Waiting.pop_front();
       sendOn(Of, Item, Kept);
@@ -128,7 +134,7 @@
   ++Of->m_Open;
   ++m_Opened;
   const Duration Left =
-      std::max(Item->m_Deadline - m_Timers.now(), Duration(1000));
+      std::max<Duration>(Item->m_Deadline - m_Timers.now(), MinTimeout);
   Fresh->connect(Of->m_Address.m_Ip, Of->m_Address.m_Port,
                  std::min<Duration>(Left, ConnectTimeout),
                  [this, Alive = std::weak_ptr(m_Alive), Of, Item,
@@ -155,7 +161,7 @@
   Item->m_Timer.reset();
   On->onIdleEnd(nullptr);
   const Duration Left =
-      std::max(Item->m_Deadline - m_Timers.now(), Duration(1000));
+      std::max<Duration>(Item->m_Deadline - m_Timers.now(), MinTimeout);
   std::string RequestId(Item->m_Http[m_RequestIdHeader]);
   On->send(std::move(Item->m_Http), Left,
            [this, Alive = std::weak_ptr(m_Alive), Of, Item, On,
--- /dev/null
+++ b/src/ragwortdrift/fleet/fleet_settings_test.cpp
@@ -0,0 +1,101 @@
+#include "ragwortdrift/fleet/fleet_settings.hpp"
+#include "ragwortdrift/testing/table.hpp"
+
+#include <algorithm>
+
+using namespace ragwortdrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string Valid = R"(; comment
+[vm]
+id = edge-1
+domain = north
+domains = north,south
+[listen]
+callers = 10.0.0.1:80
+ready = 10.0.0.1:81
+operators =
+peers = 10.0.0.1:7000
+[core]
+addresses = 10.0.0.2:8224,10.0.0.3:8224
+own_port = true
+key = 00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff
+folder =
+form = true
+[leaf_list]
+address = 10.0.0.9:8229
+calls_per_second = 49.0
+[repeats]
+ratio = 0.2
+slack = 52
+[stop]
+time_s = 6
+[new_section]
+key = value
+)";
+
+struct FaultCase {
+  const char *m_Name;
+  const char *m_From;
+  const char *m_To;
+  ConfigErrorCode m_Code;
+  const char *m_Key;
+};
+const FaultCase FaultCases[] = {
+    {"no id", "id = edge-1\n", "", ConfigErrorCode::MissingKey, "id"},
+    {"bad id", "id = edge-1", "id = edge 1/", ConfigErrorCode::BadValue, "id"},
+    {"bad port", "peers = 10.0.0.1:7000", "peers = 10.0.0.1:70000",
+     ConfigErrorCode::BadValue, "peers"},
+    {"bad core address", "10.0.0.3:8224", "somewhere",
+     ConfigErrorCode::BadValue, "addresses"},
+    {"short key", "key = 0011", "key = 11", ConfigErrorCode::BadValue, "key"},
+    {"ratio above 1", "ratio = 0.2", "ratio = 2", ConfigErrorCode::BadValue,
+     "ratio"},
+    {"text for a number", "time_s = 6", "time_s = soon",
+     ConfigErrorCode::BadValue, "time_s"},
+    {"text for a flag", "form = true", "form = 1", ConfigErrorCode::BadValue,
+     "form"},
+    {"no list", "address = 10.0.0.9:8229\n", "", ConfigErrorCode::MissingKey,
+     "address"},
+};
+
+} // namespace
+
+// Guards against settings that are read wrongly, and against a start that fails
+// on keys which a later platform adds.
+Test(fleet_settings, reads_a_valid_file) {
+  const auto Read = parseFleetSettings(Valid);
+  cr_assert(isOk(Read));
+  const FleetSettings &Of = valueOf(Read);
+  cr_assert_eq(Of.m_Vm.m_Value, "edge-1");
+  cr_assert_eq(Of.m_Domains.size(), 2U);
+  cr_assert(Of.m_Callers == Endpoint({"10.0.0.1", 80}));
+  cr_assert_not(Of.m_Operators.has_value());
+  cr_assert_not(Of.m_Folder.has_value());
+  cr_assert(Of.m_Form);
+  cr_assert(Of.m_Cores ==
+            std::vector<Endpoint>({{"10.0.0.2", 7000}, {"10.0.0.3", 7000}}));
+  cr_assert_eq(Of.m_RepeatSlack, 52);
+  cr_assert(Of.m_StopTime == 6s);
+}
+
+// Guards against a faulty file that is taken, and a fault without its place.
+TABLE_TEST(fleet_settings, names_the_place_of_a_fault, FaultCases) {
+  std::string Text = Valid;
+  const auto At = Text.find(Row.m_From);
+  cr_assert_neq(At, std::string::npos, "%s", Row.m_Name);
+  Text.replace(At, std::string(Row.m_From).size(), Row.m_To);
+  const auto Read = parseFleetSettings(Text);
+  cr_assert(!isOk(Read), "%s", Row.m_Name);
+  const auto &Errors = errorOf(Read);
+  cr_assert(std::any_of(Errors.begin(), Errors.end(),
+                        [&](const ConfigError &Error) {
+                          return Error.m_Code == Row.m_Code &&
+                                 Error.m_Key == Row.m_Key &&
+                                 (Error.m_Line > 0 ||
+                                  Row.m_Code == ConfigErrorCode::MissingKey);
+                        }),
+            "%s", Row.m_Name);
+}
--- /dev/null
+++ b/src/ragwortdrift/fleet/fleet_test.cpp
@@ -0,0 +1,355 @@
+#include "ragwortdrift/fleet/core_node.hpp"
+#include "ragwortdrift/fleet/entry_control.hpp"
+#include "ragwortdrift/net/http_server.hpp"
+#include "ragwortdrift/testing/table.hpp"
+
+#include <filesystem>
+
+using namespace ragwortdrift;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+/// A free loopback port.
+std::uint16_t freePort(asio::io_context &Io) {
+  asio::ip::tcp::acceptor Probe(Io, {asio::ip::address_v4::loopback(), 0});
+  return Probe.local_endpoint().port();
+}
+
+/// A page is one line: the next token, a space, and ids separated by commas.
+LeafListFormat lineFormat() {
+  LeafListFormat Out;
+  Out.m_Target = [](const std::string &Token) { return "/" + Token; };
+  Out.m_Read = [](std::string_view Body) -> Result<LeafListPage, ListError> {
+    const auto Space = Body.find(' ');
+    if (Space == std::string_view::npos)
+      return ListError{ListErrorCode::BadPage, "no space"};
+    LeafListPage Page;
+    Page.m_NextToken = Body.substr(0, Space);
+    std::string_view Ids = Body.substr(Space + 1);
+    while (!Ids.empty()) {
+      const auto End = std::min(Ids.find(','), Ids.size());
+      ListedLeaf Leaf;
+      Leaf.m_Id = LeafId{std::string(Ids.substr(0, End))};
+      Page.m_Leafs.push_back(Leaf);
+      Ids.remove_prefix(std::min(End + 1, Ids.size()));
+    }
+    return Page;
+  };
+  return Out;
+}
+
+/// A configuration's text is its version.
+Result<RouteConfig, std::vector<ConfigError>> readVersion(std::string_view Of) {
+  RouteConfig Out;
+  Out.m_Version = std::stoull(std::string(Of));
+  return Out;
+}
+
+/// Core VMs on loopback, one thread, with data folders of their own, and a
+/// server of the list of leafs.
+struct Fleet {
+  explicit Fleet(std::size_t Founders, std::size_t Later = 0)
+      : m_Founders(Founders),
+        m_ListServer(m_Io, {}, [this](const std::shared_ptr<HttpExchange> &In) {
+          ++m_ListCalls;
+          if (m_ListPages.contains(std::string(In->request().target())))
+            In->respond(jsonResponse(
+                200, m_ListPages[std::string(In->request().target())]));
+          else if (!m_ListIsSilent)
+            In->respond(jsonResponse(429, "{}"));
+          else
+            m_Held.push_back(In);
+        }) {
+    cr_assert(isOk(m_ListServer.listen("127.0.0.1", 0)));
+    m_Folder = std::filesystem::temp_directory_path() /
+               ("rd-fleet-" + std::to_string(::getpid()) + "-" +
+                std::to_string(m_ListServer.port()));
+    std::filesystem::create_directories(m_Folder);
+    for (std::size_t I = 0; I < Founders + Later; ++I)
+      m_Ports.push_back(freePort(m_Io));
+    m_Nodes.resize(m_Ports.size());
+  }
+  ~Fleet() {
+    m_Nodes.clear();
+    std::error_code Ignored;
+    std::filesystem::remove_all(m_Folder, Ignored);
+  }
+
+  FleetSettings settings(std::size_t Index, bool Form) const {
+    FleetSettings Out;
+    Out.m_Vm = VmId{"vm-" + std::to_string(Index)};
+    for (std::size_t I = 0; I < m_Founders; ++I)
+      Out.m_Cores.push_back({"127.0.0.1", m_Ports[I]});
+    Out.m_Peers = {"127.0.0.1", m_Ports.at(Index)};
+    Out.m_Folder = folder(Index);
+    Out.m_Form = Form;
+    Out.m_LeafList = {"127.0.0.1", m_ListServer.port()};
+    Out.m_LeafListRate = 1000;
+    return Out;
+  }
+  std::filesystem::path folder(std::size_t Index) const {
+    return m_Folder / std::to_string(Index);
+  }
+  void start(std::size_t Index, bool Form) {
+    m_Nodes[Index] =
+        std::make_unique<CoreNode>(m_Io, settings(Index, Form), lineFormat());
+    cr_assert(isOk(m_Nodes[Index]->start()));
+  }
+  void startFounders() {
+    for (std::size_t I = 0; I < m_Founders; ++I)
+      start(I, true);
+  }
+
+  template <class Condition>
+  bool runUntil(Condition Holds, Duration Limit = 8s) {
+    const auto End = std::chrono::steady_clock::now() + Limit;
+    while (!Holds() && std::chrono::steady_clock::now() < End)
+      m_Io.run_one_for(5ms);
+    return Holds();
+  }
+  Result<OrderOutcome, CoreError> submit(std::size_t Index,
+                                         RoutingOrder Order) {
+    std::optional<Result<OrderOutcome, CoreError>> Out;
+    m_Nodes[Index]->submit(std::move(Order),
+                           [&](Result<OrderOutcome, CoreError> Given) {
+                             Out.emplace(std::move(Given));
+                           });
+    cr_assert(runUntil([&] { return Out.has_value(); }, 3s));
+    return *Out;
+  }
+  /// Sends an order again until it has a clear answer, as operators do.
+  OrderOutcome submitUntilClear(std::size_t Index, const RoutingOrder &Order) {
+    for (int Try = 0; Try < 100; ++Try) {
+      const auto Out = submit(Index, Order);
+      if (isOk(Out))
+        return valueOf(Out);
+      runUntil([] { return false; }, 50ms);
+    }
+    cr_assert_fail("no clear answer");
+    return {};
+  }
+  Result<RoutingState, CoreError> read(std::size_t Index) {
+    std::optional<Result<RoutingState, CoreError>> Out;
+    m_Nodes[Index]->read([&](Result<RoutingState, CoreError> Given) {
+      Out.emplace(std::move(Given));
+    });
+    cr_assert(runUntil([&] { return Out.has_value(); }, 4s));
+    return std::move(*Out);
+  }
+  static RoutingOrder config(std::uint64_t Version, std::string Text = {}) {
+    return SetConfig{{Version, Text.empty() ? std::to_string(Version) : Text}};
+  }
+  double voters(std::size_t Index) {
+    for (const MetricSample &Each : m_Nodes[Index]->metrics())
+      if (Each.m_Name == "ragwortdrift_log_voters")
+        return std::get<Gauge>(Each.m_Value).value();
+    return 0;
+  }
+
+  asio::io_context m_Io;
+  std::size_t m_Founders;
+  HttpServer m_ListServer;
+  std::map<std::string, std::string> m_ListPages{{"/", " a,b"}};
+  bool m_ListIsSilent = false;
+  std::vector<std::shared_ptr<HttpExchange>> m_Held;
+  int m_ListCalls = 0;
+  std::filesystem::path m_Folder;
+  std::vector<std::uint16_t> m_Ports;
+  std::vector<std::unique_ptr<CoreNode>> m_Nodes;
+};
+
+/// The control state of an entry VM, with all that it told its traffic thread.
+struct Entry {
+  explicit Entry(Fleet &Of)
+      : m_Control(Of.m_Io, settings(Of), lineFormat(), &readVersion,
+                  updates()) {
+    m_Control.start();
+  }
+  static FleetSettings settings(const Fleet &Of) {
+    FleetSettings Out = Of.settings(0, false);
+    Out.m_Vm = VmId{"entry"};
+    return Out;
+  }
+  EntryUpdates updates() {
+    EntryUpdates Out;
+    Out.m_Routes = [this](const std::shared_ptr<const RouteTable> &Routes) {
+      m_Versions.push_back(Routes->config().m_Version);
+    };
+    Out.m_DomainsOut = [this](std::set<FailureDomain> Domains) {
+      m_DomainsOut = std::move(Domains);
+    };
+    Out.m_Leafs = [this](const LeafList &List) { m_Lists.push_back(List); };
+    Out.m_EntryCount = [](std::size_t) {};
+    return Out;
+  }
+
+  std::vector<std::uint64_t> m_Versions;
+  std::set<FailureDomain> m_DomainsOut;
+  std::vector<LeafList> m_Lists;
+  EntryControl m_Control;
+};
+
+struct ListCase {
+  const char *m_Name;
+  std::map<std::string, std::string> m_Pages;
+  bool m_IsSilent;
+  std::optional<ListErrorCode> m_Error;
+  std::size_t m_Leafs;
+};
+const ListCase ListCases[] = {
+    {"one page", {{"/", " a,b"}}, false, std::nullopt, 2},
+    {"three pages",
+     {{"/", "p1 a,b"}, {"/p1", "p2 c"}, {"/p2", " d"}},
+     false,
+     std::nullopt,
+     4},
+    {"empty", {{"/", " "}}, false, std::nullopt, 0},
+    {"later page refused", {{"/", "p1 a,b"}}, false, ListErrorCode::Refused, 0},
+    {"later page silent",
+     {{"/", "p1 a,b"}},
+     true,
+     ListErrorCode::Unreachable,
+     0},
+    {"later page unreadable",
+     {{"/", "p1 a,b"}, {"/p1", "junk"}},
+     false,
+     ListErrorCode::BadPage,
+     0},
+};
+
+} // namespace
+
+// Guards against a list that is taken in part: its missing leafs would count
+// as gone.
+TABLE_TEST(fleet, reads_the_leaf_list_whole_or_not_at_all, ListCases) {
+  Fleet F(1);
+  F.m_ListPages = Row.m_Pages;
+  F.m_ListIsSilent = Row.m_IsSilent;
+  LeafListReader Reader(F.m_Io, {"127.0.0.1", F.m_ListServer.port()},
+                        lineFormat());
+  // A read after one that failed starts anew.
+  for (int Round = 0; Round < 2; ++Round) {
+    std::optional<Result<LeafList, ListError>> Out;
+    Reader.read([&](Result<LeafList, ListError> Given) {
+      Out.emplace(std::move(Given));
+    });
+    cr_assert(F.runUntil([&] { return Out.has_value(); }), "%s", Row.m_Name);
+    cr_assert_eq(isOk(*Out), !Row.m_Error, "%s", Row.m_Name);
+    if (Row.m_Error)
+      cr_assert_eq(errorOf(*Out).m_Code, *Row.m_Error, "%s", Row.m_Name);
+    else
+      cr_assert_eq(valueOf(*Out).size(), Row.m_Leafs, "%s", Row.m_Name);
+  }
+}
+
+// Guards against an order that only one VM knows, and against a resend that is
+// refused.
+Test(fleet, commits_and_confirms_at_any_core_vm) {
+  Fleet F(3);
+  F.startFounders();
+  cr_assert_eq(F.submitUntilClear(0, Fleet::config(3)), OrderOutcome::Accepted);
+  for (std::size_t I = 0; I < 3; ++I) {
+    cr_assert_eq(F.submitUntilClear(I, Fleet::config(3)),
+                 OrderOutcome::Unchanged);
+    cr_assert_eq(F.submitUntilClear(I, Fleet::config(3, "other")),
+                 OrderOutcome::OtherContent);
+    const auto State = F.read(I);
+    cr_assert(isOk(State) && valueOf(State).m_Config.m_Text == "3");
+  }
+}
+
+// Guards against an acknowledgement or a read without a majority.
+Test(fleet, refuses_without_a_majority) {
+  Fleet F(3);
+  F.startFounders();
+  cr_assert_eq(F.submitUntilClear(0, Fleet::config(1)), OrderOutcome::Accepted);
+  F.m_Nodes[1].reset();
+  F.m_Nodes[2].reset();
+  cr_assert_not(isOk(F.submit(0, Fleet::config(2))));
+  cr_assert_not(isOk(F.read(0)));
+}
+
+// Guards against core VMs beyond the first ones that never vote.
+Test(fleet, admits_a_later_core_vm_as_voter) {
+  Fleet F(3, 1);
+  F.startFounders();
+  F.start(3, true);
+  cr_assert_eq(F.submitUntilClear(3, Fleet::config(1)), OrderOutcome::Accepted);
+  cr_assert(F.runUntil([&] { return F.voters(3) == 4 && F.voters(0) == 4; }));
+}
+
+// Guards against a lost disk that takes acknowledged orders with it, and
+// against a VM with an empty disk that stays outside.
+Test(fleet, readmits_a_core_vm_that_lost_its_disk) {
+  Fleet F(3);
+  F.startFounders();
+  cr_assert_eq(F.submitUntilClear(0, Fleet::config(7)), OrderOutcome::Accepted);
+  F.m_Nodes[2].reset();
+  std::filesystem::remove_all(F.folder(2));
+  F.start(2, false);
+  // It may be counted again only when it holds everything.
+  cr_assert(F.runUntil([&] {
+    const auto State = F.read(2);
+    return F.voters(2) == 3 && isOk(State) &&
+           valueOf(State).m_Config.m_Version == 7;
+  }));
+  F.runUntil([] { return false; }, 300ms);
+  F.m_Nodes[0].reset();
+  cr_assert_eq(F.submitUntilClear(1, Fleet::config(8)), OrderOutcome::Accepted);
+}
+
+// Guards against acknowledged orders that are lost when all core VMs stop at
+// once, and against older versions that reach a VM while the log is replayed.
+Test(fleet, shows_only_the_newest_state_after_a_restart_of_all) {
+  Fleet F(3);
+  F.startFounders();
+  for (std::uint64_t Version = 1; Version <= 20; ++Version)
+    F.submitUntilClear(0, Fleet::config(Version));
+  F.submitUntilClear(0, SetDomainOut{FailureDomain{"north"}, true});
+  for (auto &Node : F.m_Nodes)
+    Node.reset();
+  Entry Watching(F);
+  for (std::size_t I = 0; I < 3; ++I)
+    F.start(I, false);
+  cr_assert(F.runUntil([&] { return !Watching.m_Versions.empty(); }));
+  F.runUntil([] { return false; }, 300ms);
+  cr_assert_eq(Watching.m_Versions.size(), 1U);
+  cr_assert_eq(Watching.m_Versions[0], 20U);
+  cr_assert(Watching.m_DomainsOut.contains(FailureDomain{"north"}));
+}
+
+// Guards against entry VMs that learn late of orders or leafs, and against a
+// list that every VM reads for itself.
+Test(fleet, tells_entry_vms_what_changes) {
+  Fleet F(3);
+  F.startFounders();
+  F.submitUntilClear(0, Fleet::config(1));
+  Entry Watching(F);
+  cr_assert(F.runUntil([&] {
+    return !Watching.m_Versions.empty() && !Watching.m_Lists.empty();
+  }));
+  F.m_ListPages["/"] = " a,b,c";
+  F.submitUntilClear(1, Fleet::config(2));
+  const auto Ordered = std::chrono::steady_clock::now();
+  cr_assert(F.runUntil([&] { return Watching.m_Versions.back() == 2; }));
+  cr_assert(F.runUntil([&] { return Watching.m_Lists.back().size() == 3; }));
+  cr_assert_lt((std::chrono::steady_clock::now() - Ordered).count(),
+               std::chrono::nanoseconds(3s).count());
+}
+
+// Guards against an entry VM that is cut off from the core and goes on with an
+// old list.
+Test(fleet, reads_the_list_itself_without_the_core) {
+  Fleet F(3);
+  F.startFounders();
+  F.submitUntilClear(0, Fleet::config(1));
+  Entry Watching(F);
+  cr_assert(F.runUntil([&] { return !Watching.m_Lists.empty(); }));
+  for (auto &Node : F.m_Nodes)
+    Node.reset();
+  F.m_ListPages["/"] = " a";
+  cr_assert(F.runUntil([&] { return Watching.m_Lists.back().size() == 1; }));
+  cr_assert_eq(Watching.m_Versions.back(), 1U);
+}
