Reach restarted core VMs sooner

Change: peer connections time out after 250 ms and back off to 400 ms at most; election timeouts stay at 75 to 150 ms until a leader is known for the first time.

--- a/include/ragwortdrift/consensus/raft_core.hpp
+++ b/include/ragwortdrift/consensus/raft_core.hpp
@@ -26,9 +26,10 @@
   unsigned m_HeartbeatTicks = 5;
   unsigned m_ElectionTicksMin = 20;
   unsigned m_ElectionTicksMax = 40;
-  /// Bound of the first timeout after the start; 0 for that of all others. A
-  /// cluster whose voters restart together elects sooner with a short one, and
-  /// pre-vote keeps a single restarted voter from disturbing a leader.
+  /// Bound of the timeouts until a leader is known for the first time since the
+  /// start; 0 for that of all others. A cluster whose voters restart together
+  /// elects sooner with short ones, and pre-vote keeps a single restarted voter
+  /// from disturbing a leader.
   unsigned m_FirstElectionTicksMax = 0;
   /// Bound of the payload bytes in one append message and of a snapshot part.
   std::size_t m_MaxMessageBytes = std::size_t{256} * 1024;
@@ -212,6 +213,8 @@
   std::uint64_t m_Tick = 0;
   unsigned m_Elapsed = 0;
   unsigned m_Timeout = 0;
+  /// Whether a leader was known since the start.
+  bool m_LeaderSeen = false;
   std::map<MemberKey, bool> m_Votes;
   /// A candidate with an older log asked for this VM's vote. A learner then
   /// campaigns too: the others may need its vote and cannot get it.
--- a/include/ragwortdrift/consensus/replicated_log.hpp
+++ b/include/ragwortdrift/consensus/replicated_log.hpp
@@ -25,7 +25,8 @@
   Duration m_Heartbeat = std::chrono::milliseconds(75);
   Duration m_ElectionTimeoutMin = std::chrono::milliseconds(300);
   Duration m_ElectionTimeoutMax = std::chrono::milliseconds(600);
-  /// Bound of the first election timeout after the start; 0 for the others'.
+  /// Bound of election timeouts until a leader is known for the first time; 0
+  /// for the others'.
   Duration m_FirstElectionTimeoutMax{0};
   /// Period in which a query for a store id is repeated.
   Duration m_QueryPeriod = std::chrono::milliseconds(300);
--- a/src/ragwortdrift/consensus/raft_core.cpp
+++ b/src/ragwortdrift/consensus/raft_core.cpp
@@ -34,9 +34,6 @@
   }
   m_Handed = m_Persisted = m_Log.lastIndex();
   resetElectionTimer();
-  if (m_Options.m_FirstElectionTicksMax > 0)
-    m_Timeout = 1 + static_cast<unsigned>(m_Engine() %
-                                          m_Options.m_FirstElectionTicksMax);
 }
 
 void RaftCore::tick() {
@@ -202,10 +199,13 @@
 }
 
 void RaftCore::resetElectionTimer() {
-  unsigned Range = m_Options.m_ElectionTicksMax - m_Options.m_ElectionTicksMin;
+  m_LeaderSeen = m_LeaderSeen || m_Leader || m_Role == RaftRole::Leader;
+  const bool First = !m_LeaderSeen && m_Options.m_FirstElectionTicksMax > 0;
+  const unsigned Max = First ? m_Options.m_FirstElectionTicksMax
+                             : m_Options.m_ElectionTicksMax;
+  const unsigned Min = First ? Max / 2 : m_Options.m_ElectionTicksMin;
   m_Elapsed = 0;
-  m_Timeout = m_Options.m_ElectionTicksMin +
-              static_cast<unsigned>(m_Engine() % (Range + 1));
+  m_Timeout = Min + static_cast<unsigned>(m_Engine() % (Max - Min + 1));
 }
 
 void RaftCore::send(const MemberKey &To, const std::string &Address,
--- a/src/ragwortdrift/consensus/raft_core_test.cpp
+++ b/src/ragwortdrift/consensus/raft_core_test.cpp
@@ -13,7 +13,8 @@
 /// term 2, and term 3 on disk.
 class FiveVoters {
 public:
-  FiveVoters() : m_Core({}, voter(0), recovered(), m_Engine) {}
+  explicit FiveVoters(CoreOptions Options = {})
+      : m_Core(Options, voter(0), recovered(), m_Engine) {}
 
   static RecoveredLog recovered() {
     Membership First;
@@ -54,6 +55,28 @@
 
 } // namespace
 
+// Guards against a slow first election when all voters restart, and against
+// short timeouts that outlast the start and disturb a leader.
+Test(RaftCore, firstElectionsAreShortUntilALeaderIsKnown) {
+  CoreOptions Options;
+  Options.m_FirstElectionTicksMax = 10;
+  FiveVoters Five(Options);
+  const auto TicksToCampaign = [&] {
+    unsigned Ticks = 0;
+    Five.settle();
+    while (Five.settle().m_Messages.empty()) {
+      Five.m_Core.tick();
+      ++Ticks;
+    }
+    return Ticks;
+  };
+  for (int Round = 0; Round < 5; ++Round)
+    cr_assert_leq(TicksToCampaign(), 10U);
+  Five.step(1, 4, AppendRequest{2, 2, 0, 1, {}});
+  for (int Round = 0; Round < 5; ++Round)
+    cr_assert_geq(TicksToCampaign(), Options.m_ElectionTicksMin);
+}
+
 // Guards against a commit of an entry of an older term by counting copies; a
 // later leader without it could still be elected.
 Test(RaftCore, olderTermIsCommittedOnlyWithOwnTerm) {
--- a/src/ragwortdrift/net/peer_client.cpp
+++ b/src/ragwortdrift/net/peer_client.cpp
@@ -15,10 +15,12 @@
 
 namespace {
 
-constexpr Duration ConnectTimeout{1'000'000};
+/// A machine without power does not answer; one that is up answers within a
+/// round trip, at most some 50 ms between regions.
+constexpr Duration ConnectTimeout{250'000};
 /// Wait after a failed connection; it doubles up to the maximum.
 constexpr Duration FirstBackoff{50'000};
-constexpr Duration MaxBackoff{1'000'000};
+constexpr Duration MaxBackoff{400'000};
 /// A connection without calls is closed after this, so that PINGs to peers
 /// that are asked rarely (gossip) do not add up.
 constexpr Duration IdleLimit{10'000'000};
