Log to standard output without waiting for its reader; run-local waits for a signal

Cause: the platform's logs are wanted on standard output, bounded and never blocking; scripts/run-local --no-load ended with EOFError when standard input was closed.

Change: a sink that writes whole lines only to a descriptor that is ready, counts the others and logs the count; run-local --no-load runs until SIGINT or SIGTERM. Both with a test.

--- a/include/ragwortdrift/base/log.hpp
+++ b/include/ragwortdrift/base/log.hpp
@@ -64,6 +64,10 @@
   bool m_Json = false;
   /// Appended to; nothing for standard error.
   std::optional<std::filesystem::path> m_File;
+  /// Written to instead, without ever waiting for its reader; for example 1,
+  /// standard output. Lines that do not fit are counted, and the count is
+  /// logged when the reader is back.
+  std::optional<int> m_Descriptor;
 };
 
 enum class LogErrorCode { CannotOpenFile };
--- a/scripts/lab/lab_test.py
+++ b/scripts/lab/lab_test.py
@@ -1,5 +1,8 @@
 """Tests of the experiments' own checks: each fault that they look for must be found."""
 
+import signal
+import subprocess
+import sys
 import types
 import unittest
 
@@ -136,5 +139,21 @@
         self.assertEqual(count, {"argani": 105, "railrover": 86})
 
 
+class Local(unittest.TestCase):
+    def test_waits_for_a_signal_with_closed_input(self):
+        """Guards against a local deployment that ends with EOFError when standard input is closed."""
+        for stop in (signal.SIGINT, signal.SIGTERM):
+            with self.subTest(stop=stop):
+                waiting = subprocess.Popen(
+                    [sys.executable, "-c", "from lab import local; local.wait_for_stop()"],
+                    stdin=subprocess.DEVNULL, stdout=subprocess.PIPE, text=True,
+                )
+                self.assertIn("running until", waiting.stdout.readline())
+                self.assertIsNone(waiting.poll())
+                waiting.send_signal(stop)
+                self.assertEqual(waiting.wait(timeout=5), 0)
+                waiting.stdout.close()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/scripts/lab/local.py
+++ b/scripts/lab/local.py
@@ -1,6 +1,7 @@
 """Starts a deployment on loopback, runs a load and prints a table."""
 
 import argparse
+import signal
 import sys
 
 from lab import load, sites
@@ -15,6 +16,14 @@
 )
 
 
+def wait_for_stop():
+    """Waits for SIGINT or SIGTERM. Standard input is not read, since it may be closed."""
+    stops = {signal.SIGINT, signal.SIGTERM}
+    signal.pthread_sigmask(signal.SIG_BLOCK, stops)
+    print("running until Ctrl-C or SIGTERM", flush=True)
+    signal.sigwait(stops)
+
+
 def main():
     parser = argparse.ArgumentParser(prog="scripts/run-local", description=__doc__)
     parser.add_argument("--site", choices=sorted(sites.SITES), default="argani")
@@ -32,7 +41,7 @@
             for vm in deployment.vms:
                 print(f"{vm.name}: callers {vm.caller}, admin {vm.admin}", flush=True)
             if arguments.no_load:
-                input("press Enter to stop\n")
+                wait_for_stop()
                 return 0
             report = load.LoadRun(
                 deployment, plain=False, rate=arguments.rate, seconds=arguments.seconds, seed=arguments.seed,
--- a/src/ragwortdrift/base/log.cpp
+++ b/src/ragwortdrift/base/log.cpp
@@ -7,6 +7,7 @@
 #include <boost/log/attributes/value_extraction.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
@@ -19,14 +20,14 @@
 #include <cstdio>
 #include <fstream>
 #include <iostream>
+#include <poll.h>
 #include <string>
+#include <unistd.h>
 
 namespace ragwortdrift {
 namespace {
 
 namespace blog = boost::log;
-using Sink = blog::sinks::synchronous_sink<blog::sinks::text_ostream_backend>;
-
 std::atomic<LogSeverity> CurrentLevel{LogSeverity::Info};
 std::atomic<bool> WritesJson{false};
 
@@ -100,9 +101,74 @@
   Out << (Json ? "{" + Line + "}" : Line);
 }
 
+/// Writes whole lines to a descriptor that is ready, and drops the others. A
+/// pipe that is ready takes this many bytes without blocking (PIPE_BUF of
+/// Linux).
+constexpr std::size_t MaxLineBytes = 4096;
+
+class DescriptorBackend : public blog::sinks::basic_formatted_sink_backend<
+                              char, blog::sinks::synchronized_feeding> {
+public:
+  explicit DescriptorBackend(int Descriptor) : m_Descriptor(Descriptor) {}
+
+  void consume(const blog::record_view &, const std::string &Line) {
+    if (!isReady()) {
+      ++m_Dropped;
+      return;
+    }
+    if (m_Dropped > 0) {
+      const std::string Count = std::to_string(std::exchange(m_Dropped, 0));
+      write(WritesJson.load(std::memory_order_relaxed)
+                ? R"({"level":"warning","event":"log.lines_dropped","count":)" +
+                      Count + "}"
+                : "level=warning event=log.lines_dropped count=" + Count);
+      if (!isReady()) {
+        ++m_Dropped;
+        return;
+      }
+    }
+    write(Line);
+  }
+
+private:
+  bool isReady() const {
+    pollfd Waiting{m_Descriptor, POLLOUT, 0};
+    return ::poll(&Waiting, 1, 0) == 1 && (Waiting.revents & POLLOUT) != 0;
+  }
+
+  void write(std::string Line) {
+    Line.resize(std::min(Line.size(), MaxLineBytes - 1));
+    Line += '\n';
+    if (::write(m_Descriptor, Line.data(), Line.size()) < 0)
+      ++m_Dropped;
+  }
+
+  int m_Descriptor;
+  std::uint64_t m_Dropped = 0;
+};
+
+template <class Backend>
+void useSink(const boost::shared_ptr<Backend> &Target,
+             const LogOptions &Options) {
+  auto Front =
+      boost::make_shared<blog::sinks::synchronous_sink<Backend>>(Target);
+  Front->set_formatter(&formatRecord);
+  const auto Core = blog::core::get();
+  Core->remove_all_sinks();
+  Core->add_global_attribute("TimeStamp", blog::attributes::utc_clock());
+  CurrentLevel = Options.m_Level;
+  WritesJson = Options.m_Json;
+  Core->add_sink(Front);
+}
+
 } // namespace
 
 Result<Done, LogError> startLogging(const LogOptions &Options) {
+  if (Options.m_Descriptor) {
+    useSink(boost::make_shared<DescriptorBackend>(*Options.m_Descriptor),
+            Options);
+    return Done{};
+  }
   auto Backend = boost::make_shared<blog::sinks::text_ostream_backend>();
   if (Options.m_File) {
     auto File = boost::make_shared<std::ofstream>(
@@ -115,14 +181,7 @@
         &std::clog, [](const std::ostream *) {}));
   }
   Backend->auto_flush(true);
-  auto Front = boost::make_shared<Sink>(Backend);
-  Front->set_formatter(&formatRecord);
-  const auto Core = blog::core::get();
-  Core->remove_all_sinks();
-  Core->add_global_attribute("TimeStamp", blog::attributes::utc_clock());
-  CurrentLevel = Options.m_Level;
-  WritesJson = Options.m_Json;
-  Core->add_sink(Front);
+  useSink(Backend, Options);
   return Done{};
 }
 
--- a/src/ragwortdrift/base/log_test.cpp
+++ b/src/ragwortdrift/base/log_test.cpp
@@ -145,3 +145,27 @@
   cr_assert(Lines[3].find("event=decisions_left_out of=hedge_sent count=3") !=
             std::string::npos);
 }
+
+// Guards against a process that waits for the reader of its log, and against
+// lines that are lost without a trace.
+Test(log, never_waits_for_its_reader) {
+  int Ends[2];
+  cr_assert_eq(::pipe(Ends), 0);
+  LogOptions Options;
+  Options.m_Descriptor = Ends[1];
+  cr_assert(isOk(startLogging(Options)));
+  const std::string Long(1000, 'x');
+  // A pipe holds 64 KiB, so most of these find it full.
+  for (int I = 0; I < 1000; ++I)
+    logEvent(LogSeverity::Info, "test.line", {{"text", Long}});
+  std::string Text(1 << 20, '\0');
+  const ssize_t First = ::read(Ends[0], Text.data(), Text.size());
+  cr_assert_gt(First, 0);
+  logEvent(LogSeverity::Info, "test.after", {});
+  const ssize_t Second = ::read(Ends[0], Text.data(), Text.size());
+  cr_assert_gt(Second, 0);
+  Text.resize(static_cast<std::size_t>(Second));
+  const auto Dropped = Text.find("event=log.lines_dropped count=9");
+  cr_assert_neq(Dropped, std::string::npos);
+  cr_assert_lt(Dropped, Text.find("event=test.after"));
+}
