--- a/src/ragwortdrift/tools/ctl/explain.cpp
+++ b/src/ragwortdrift/tools/ctl/explain.cpp
@@ -93,6 +93,9 @@
     if (!Line)
       continue;
     const std::string Event = Line->field("event");
+    // A new process believes nothing of what its predecessor did.
+    if (Event == "process.started")
+      Beliefs.clear();
     for (const BeliefKind &Kind : beliefKinds())
       if (std::find(Kind.m_Events.begin(), Kind.m_Events.end(), Event) !=
           Kind.m_Events.end())
--- a/src/ragwortdrift/tools/ctl/explain_test.cpp
+++ b/src/ragwortdrift/tools/ctl/explain_test.cpp
@@ -24,6 +24,8 @@
 };
 
 const std::string First =
+    "time=2025-12-31T23:00:00Z level=info event=vm.isolated failed_attempts=9\n"
+    "time=2025-12-31T23:59:59Z level=info event=process.started vm=a\n"
     "time=2026-01-01T00:00:00Z level=info event=routes.in_force version=3\n"
     "time=2026-01-01T00:00:01Z level=info event=leaf.unverified leaf=i-1\n"
     "time=2026-01-01T00:00:01Z level=info event=leaf.unverified leaf=i-2\n"
@@ -83,7 +85,7 @@
   cr_assert_lt(Refused, Config);
   cr_assert_lt(Config, Failed);
   cr_assert_lt(Leaf, Failed);
-  for (const char *Other : {"version=4", "leaf=i-2", "abcd"})
+  for (const char *Other : {"version=4", "leaf=i-2", "abcd", "vm.isolated"})
     cr_assert_eq(Text.find(Other), std::string::npos, "%s", Other);
 }
 
