Use only a share of the leafs where they accept fewer connections than there are entry VMs

Change: with less than one connection a VM, a VM uses at least two leafs of a service, those of its own domain first, then in an order by hash; the others are a last resort. The number of entry VMs is part of the replicated state, so that VMs which restart together know it.

--- a/include/ragwortdrift/dispatch/dispatcher.hpp
+++ b/include/ragwortdrift/dispatch/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include "ragwortdrift/base/metrics.hpp"
 #include "ragwortdrift/dispatch/leaf_pool.hpp"
 #include "ragwortdrift/dispatch/leaf_protocol.hpp"
+#include "ragwortdrift/dispatch/leaf_share.hpp"
 #include "ragwortdrift/dispatch/leaf_view.hpp"
 #include "ragwortdrift/policy/hedge.hpp"
 #include "ragwortdrift/routing/route_table.hpp"
@@ -12,6 +13,7 @@
 namespace ragwortdrift {
 
 struct DispatchOptions {
+  VmId m_Vm;
   /// The failure domain of this VM.
   FailureDomain m_Domain;
   /// Repeats that all VMs together may send to a service: this share of its
@@ -57,8 +59,13 @@
   void setRoutes(std::shared_ptr<const RouteTable> Routes);
   void setLeafs(const LeafList &List);
   void setDomainsOut(const std::set<FailureDomain> &Out);
-  /// How many entry VMs share the budgets of repeats.
+  /// How many entry VMs share the budgets of repeats and the leafs'
+  /// connections.
   void setEntryCount(std::size_t Count);
+  /// What this VM may use of a service's leafs.
+  LeafShare share(const RoutedService &Of) const;
+  /// Whether this VM uses a leaf regularly.
+  bool uses(const LeafId &Id) const;
   /// A leaf ended an idle connection early: it may have been restarted.
   void onIdleEnd(const LeafId &Id);
 
@@ -94,6 +101,7 @@
   /// This VM's share of the common slack that may be saved up, and the same
   /// amount that it earns in one window.
   double burst() const;
+  void limitUse();
   /// Notes whether a leaf could be reached at all.
   void onReached(const LeafView &Leaf);
   void onUnreached(const LeafView &Leaf);
--- a/include/ragwortdrift/dispatch/leaf_view.hpp
+++ b/include/ragwortdrift/dispatch/leaf_view.hpp
@@ -34,6 +34,10 @@
   bool domainOut() const { return m_DomainOut; }
   void setGone() { m_Listed.m_State = ListedState::Draining; }
 
+  /// Whether this VM uses the leaf as long as others can be asked.
+  void setUsed(bool Used) { m_Used = Used; }
+  bool used() const { return m_Used; }
+
   /// An unverified leaf gets no request until a health probe succeeds.
   void setVerified(bool Verified) { m_Verified = Verified; }
   bool verified() const { return m_Verified; }
@@ -62,6 +66,7 @@
 
   ListedLeaf m_Listed;
   bool m_DomainOut = false;
+  bool m_Used = true;
   bool m_Verified = true;
   TimePoint m_ColdUntil;
   unsigned m_Open = 0;
@@ -86,8 +91,15 @@
   /// Returns the leafs of domains that came back in, to be verified.
   Changed setDomainsOut(const std::set<FailureDomain> &Out);
 
+  /// Limits the leafs of a service that this VM uses to Count: those of its own
+  /// domain first, then in an order that differs between VMs.
+  void limitUse(const ServiceName &Service, std::size_t Count, const VmId &Self,
+                const FailureDomain &Own);
+  std::size_t leafCount(const ServiceName &Service) const;
+
   /// The best leaf of a service that may be asked and is not among Excluded;
-  /// nothing when there is none. Among the best, chance decides.
+  /// nothing when there is none. Among the best, chance decides. A leaf beyond
+  /// the limit is the last resort.
   std::shared_ptr<LeafView>
   choose(const ServiceName &Service, TimePoint Now, const FailureDomain &Own,
          const std::vector<std::shared_ptr<LeafView>> &Excluded,
--- a/include/ragwortdrift/fleet/core_node.hpp
+++ b/include/ragwortdrift/fleet/core_node.hpp
@@ -73,6 +73,8 @@
   void checkMembership();
   void join();
   void onJoin(const VmId &From, const JoinRequest &Request, const Stream &Out);
+  /// Commits the number of entry VMs when more were seen than before.
+  void recordEntryCount();
   void removeSilentVoter(const ReplicatedLogStatus &Status);
   std::vector<std::string> knownCores() const;
 
@@ -111,6 +113,7 @@
   bool m_Leads = false;
   bool m_Serves = false;
   bool m_ChangingVoters = false;
+  bool m_RecordingCount = false;
   bool m_Stopping = false;
   std::map<std::uint64_t, Watcher> m_Watchers;
   std::uint64_t m_NextWatcher = 0;
--- a/include/ragwortdrift/fleet/entry_control.hpp
+++ b/include/ragwortdrift/fleet/entry_control.hpp
@@ -50,6 +50,7 @@
   void watchMore();
   void openWatch(const std::string &Address);
   void onReport(const std::string &From, const CoreReport &Report);
+  void takeEntryCount(std::size_t Count);
   void takeState(const std::string &From, const RoutingState &State);
   void checkList();
   void readList();
--- a/include/ragwortdrift/fleet/entry_traffic.hpp
+++ b/include/ragwortdrift/fleet/entry_traffic.hpp
@@ -46,9 +46,7 @@
   HttpServer m_Ready;
   HttpServer m_Metrics;
   std::shared_ptr<const RouteTable> m_Routes;
-  std::size_t m_EntryCount = 1;
   bool m_Stopping = false;
-  TimePoint m_StartedAt;
   TimePoint m_StopBegan;
   std::function<void()> m_Stopped;
   std::vector<TimerService::Subscription> m_Periodic;
--- a/include/ragwortdrift/routing/routing_state.hpp
+++ b/include/ragwortdrift/routing/routing_state.hpp
@@ -35,7 +35,15 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(m_Domain, m_Out); }
 };
 
-using RoutingOrder = std::variant<SetConfig, SetDomainOut>;
+/// Raises the number of entry VMs that share budgets and connections. It is
+/// kept so that VMs know it before they serve anything when all restart at
+/// once.
+struct RaiseEntryCount {
+  std::uint32_t m_Count = 0;
+  template <class Archive> void serialize(Archive &Ar) { Ar(m_Count); }
+};
+
+using RoutingOrder = std::variant<SetConfig, SetDomainOut, RaiseEntryCount>;
 
 enum class OrderOutcome : std::uint8_t {
   Accepted,
@@ -57,10 +65,12 @@
   std::uint64_t m_Revision = 0;
   ConfigText m_Config;
   std::set<FailureDomain> m_DomainsOut;
+  /// The most entry VMs that were seen.
+  std::uint32_t m_EntryCount = 0;
 
   friend bool operator==(const RoutingState &, const RoutingState &) = default;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(m_Revision, m_Config, m_DomainsOut);
+    Ar(m_Revision, m_Config, m_DomainsOut, m_EntryCount);
   }
 };
 
--- a/src/ragwortdrift/dispatch/dispatcher.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher.cpp
@@ -87,12 +87,32 @@
     Stats.m_LongestWait = Duration{0};
   }
   m_Stats = std::move(Kept);
+  limitUse();
+}
+
+LeafShare Dispatcher::share(const RoutedService &Of) const {
+  return leafShare(Of.m_MaxConnections, m_Leafs.leafCount(Of.m_Name),
+                   m_EntryCount);
+}
+
+bool Dispatcher::uses(const LeafId &Id) const {
+  const auto View = m_Leafs.find(Id);
+  return View && View->used();
+}
+
+void Dispatcher::limitUse() {
+  if (!m_Routes)
+    return;
+  for (const RoutedService &Each : m_Routes->config().m_Services)
+    m_Leafs.limitUse(Each.m_Name, share(Each).m_Leafs, m_Options.m_Vm,
+                     m_Options.m_Domain);
 }
 
 void Dispatcher::setLeafs(const LeafList &List) {
   const auto ToVerify = m_Leafs.setList(List, m_Timers.now());
   std::erase_if(m_Probes,
                 [&](const auto &Entry) { return !m_Leafs.find(Entry.first); });
+  limitUse();
   for (const auto &View : ToVerify)
     verify(View, "started", Duration{0});
 }
@@ -108,6 +128,7 @@
   m_EntryCount = std::max<std::size_t>(Count, 1);
   for (auto &[Service, Each] : m_Budgets)
     Each.m_Tokens.setBurst(burst());
+  limitUse();
 }
 
 double Dispatcher::burst() const {
--- a/src/ragwortdrift/dispatch/dispatcher_test.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher_test.cpp
@@ -102,6 +102,23 @@
     {"many leafs lost", false, false, false},
 };
 
+struct ShareCase {
+  const char *m_Name;
+  std::uint32_t m_MaxConnections;
+  std::size_t m_Leafs;
+  std::size_t m_EntryCount;
+  std::uint32_t m_Connections;
+  std::size_t m_Used;
+};
+const ShareCase ShareCases[] = {
+    {"few VMs", 25, 3, 6, 3, 3},
+    {"nine VMs", 26, 3, 9, 2, 3},
+    {"many VMs, many connections", 440, 19, 63, 6, 19},
+    {"about as many connections as VMs", 64, 3, 63, 1, 2},
+    {"fewer connections than VMs", 70, 3, 76, 1, 2},
+    {"one leaf", 70, 1, 60, 1, 1},
+};
+
 struct BarCase {
   const char *m_Name;
   void (*m_Change)(DispatchFixture &);
@@ -441,6 +458,38 @@
   cr_assert(F.m_Dispatcher.ready(), "%s", Row.m_Name);
 }
 
+// Guards against more connections to a leaf than it accepts from all entry VMs
+// together, when there are fewer connections than VMs.
+TABLE_TEST(dispatch, divides_the_connections_of_a_leaf, ShareCases) {
+  const LeafShare Share =
+      leafShare(Row.m_MaxConnections, Row.m_Leafs, Row.m_EntryCount);
+  cr_assert_eq(Share.m_Connections, Row.m_Connections, "%s", Row.m_Name);
+  cr_assert_eq(Share.m_Leafs, Row.m_Used, "%s", Row.m_Name);
+  // Over all VMs, counted from the order that each one has.
+  std::map<LeafId, std::size_t> Users;
+  for (std::size_t Vm = 0; Vm < Row.m_EntryCount; ++Vm) {
+    LeafDirectory Directory;
+    LeafList List;
+    for (std::size_t I = 0; I < Row.m_Leafs; ++I) {
+      ListedLeaf Leaf;
+      Leaf.m_Id = LeafId{"leaf-" + std::to_string(I)};
+      Leaf.m_Service = ServiceName{"s"};
+      Leaf.m_Domain = FailureDomain{"d" + std::to_string(I % 3)};
+      List.push_back(Leaf);
+    }
+    Directory.setList(List, {});
+    Directory.limitUse(ServiceName{"s"}, Share.m_Leafs,
+                       VmId{"vm-" + std::to_string(Vm)},
+                       FailureDomain{"d" + std::to_string(Vm % 5)});
+    for (const ListedLeaf &Leaf : List)
+      if (Directory.find(Leaf.m_Id)->used())
+        Users[Leaf.m_Id] += Share.m_Connections;
+  }
+  for (const auto &[Id, Count] : Users)
+    cr_assert_leq(Count, Row.m_MaxConnections, "%s: %s", Row.m_Name,
+                  Id.m_Value.c_str());
+}
+
 // Guards against leafs that go on working for a caller that has left.
 Test(dispatch, ends_all_tries_of_a_caller_that_left) {
   DispatchFixture F;
--- a/src/ragwortdrift/dispatch/leaf_pool.cpp
+++ b/src/ragwortdrift/dispatch/leaf_pool.cpp
@@ -14,7 +14,7 @@
 /// A request with less time left is not sent.
 constexpr std::chrono::milliseconds MinTimeout{1};
 /// Connections of one leaf until its service's share is known.
-constexpr std::uint32_t DefaultShare = 2;
+constexpr std::uint32_t DefaultShare = 1;
 /// Idle connections are closed this long before the leaf would close them, so
 /// that no request meets a closing connection.
 constexpr std::chrono::milliseconds KeepMargin{700};
--- /dev/null
+++ b/src/ragwortdrift/dispatch/leaf_share.cpp
@@ -0,0 +1,26 @@
+#include "ragwortdrift/dispatch/leaf_share.hpp"
+
+#include <algorithm>
+
+namespace ragwortdrift {
+
+namespace {
+
+/// Share of a leaf's connections that all entry VMs together use; the rest is
+/// for VMs that are not known yet and for connections that are closing.
+constexpr double ConnectionShare = 0.9;
+constexpr std::size_t MinLeafs = 2;
+
+} // namespace
+
+LeafShare leafShare(std::uint32_t MaxConnections, std::size_t Leafs,
+                    std::size_t EntryCount) {
+  const double Each = ConnectionShare * MaxConnections /
+                      static_cast<double>(std::max<std::size_t>(EntryCount, 1));
+  if (Each >= 1)
+    return {static_cast<std::uint32_t>(Each), Leafs};
+  const auto Used = static_cast<std::size_t>(Each * static_cast<double>(Leafs));
+  return {1, std::min(Leafs, std::max(Used, MinLeafs))};
+}
+
+} // namespace ragwortdrift
--- a/src/ragwortdrift/dispatch/leaf_view.cpp
+++ b/src/ragwortdrift/dispatch/leaf_view.cpp
@@ -1,5 +1,7 @@
 #include "ragwortdrift/dispatch/leaf_view.hpp"
 
+#include "ragwortdrift/base/hash.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -23,6 +25,9 @@
 /// Another failure domain costs bytes between domains and a longer way.
 constexpr double OtherDomainCost = 0.4;
 constexpr double QueueCost = 1;
+/// Above all other costs: a connection to a leaf that this VM does not use may
+/// be one too many for the leaf.
+constexpr double UnusedCost = 1000;
 /// Leafs whose costs differ by less are equally good.
 constexpr double EqualCost = 0.15;
 
@@ -134,6 +139,28 @@
   return ToVerify;
 }
 
+std::size_t LeafDirectory::leafCount(const ServiceName &Service) const {
+  const auto Leafs = m_Services.find(Service);
+  return Leafs == m_Services.end() ? 0 : Leafs->second.size();
+}
+
+void LeafDirectory::limitUse(const ServiceName &Service, std::size_t Count,
+                             const VmId &Self, const FailureDomain &Own) {
+  const auto Leafs = m_Services.find(Service);
+  if (Leafs == m_Services.end())
+    return;
+  const auto Rank = [&](const std::shared_ptr<LeafView> &View) {
+    const ListedLeaf &Listed = View->listed();
+    return std::pair(Listed.m_Domain != Own,
+                     stableHash(Self.m_Value, stableHash(Listed.m_Id.m_Value)));
+  };
+  auto Ordered = Leafs->second;
+  std::sort(Ordered.begin(), Ordered.end(),
+            [&](const auto &A, const auto &B) { return Rank(A) < Rank(B); });
+  for (std::size_t I = 0; I < Ordered.size(); ++I)
+    Ordered[I]->setUsed(I < Count);
+}
+
 std::shared_ptr<LeafView>
 LeafDirectory::choose(const ServiceName &Service, TimePoint Now,
                       const FailureDomain &Own,
@@ -149,7 +176,7 @@
     if (View->bar(Now) != LeafBar::None ||
         std::find(Excluded.begin(), Excluded.end(), View) != Excluded.end())
       continue;
-    const double Cost = View->cost(Now, Own);
+    const double Cost = View->cost(Now, Own) + (View->used() ? 0 : UnusedCost);
     if (!Best || Cost < BestCost - EqualCost) {
       Best = View;
       BestCost = Cost;
--- a/src/ragwortdrift/fleet/core_members.cpp
+++ b/src/ragwortdrift/fleet/core_members.cpp
@@ -68,6 +68,7 @@
   if (m_Leads) {
     m_LeaderSeenAt = m_Timers.now();
     removeSilentVoter(Status);
+    recordEntryCount();
     return;
   }
   if (Status.m_Leader)
@@ -168,6 +169,17 @@
   });
 }
 
+void CoreNode::recordEntryCount() {
+  const std::uint32_t Count = entryCount();
+  if (!serves() || m_RecordingCount || Count <= m_State.m_EntryCount)
+    return;
+  m_RecordingCount = true;
+  commit(RaiseEntryCount{Count},
+         [this](const Result<OrderOutcome, CoreError> &) {
+           m_RecordingCount = false;
+         });
+}
+
 void CoreNode::onWatch(const PeerRequest &In, const Stream &Out) {
   const auto Request = decode<WatchRequest>(In.m_Body);
   if (!isOk(Request)) {
--- a/src/ragwortdrift/fleet/entry_control.cpp
+++ b/src/ragwortdrift/fleet/entry_control.cpp
@@ -123,21 +123,26 @@
     m_Updates.m_Leafs(*Report.m_Leafs);
   }
   // Different core VMs may have seen different entry VMs.
-  if (Report.m_EntryCount > m_EntryCount) {
-    m_EntryCount = Report.m_EntryCount;
-    m_Updates.m_EntryCount(m_EntryCount);
-  }
+  takeEntryCount(Report.m_EntryCount);
   const std::size_t Known = m_Cores.size();
   m_Cores.insert(Report.m_Cores.begin(), Report.m_Cores.end());
   if (m_Cores.size() != Known)
     watchMore();
 }
 
+void EntryControl::takeEntryCount(std::size_t Count) {
+  if (Count <= m_EntryCount)
+    return;
+  m_EntryCount = Count;
+  m_Updates.m_EntryCount(Count);
+}
+
 void EntryControl::takeState(const std::string &From,
                              const RoutingState &State) {
   if (State.m_Revision <= m_Revision)
     return;
   m_Revision = State.m_Revision;
+  takeEntryCount(State.m_EntryCount);
   m_Updates.m_DomainsOut(State.m_DomainsOut);
   logEvent(LogSeverity::Info, "state.taken",
            {{"core", From},
--- a/src/ragwortdrift/fleet/entry_traffic.cpp
+++ b/src/ragwortdrift/fleet/entry_traffic.cpp
@@ -9,15 +9,9 @@
 
 namespace {
 
-/// Share of a leaf's connections that all entry VMs together use; the rest is
-/// for VMs that are not known yet and for probes.
-constexpr double ConnectionShare = 0.9;
 constexpr std::chrono::milliseconds IdleCheckInterval{300};
 constexpr std::chrono::milliseconds IsolationCheckInterval{200};
 constexpr std::chrono::seconds SecondInterval{1};
-/// For this long after the start the number of entry VMs may not be known yet,
-/// so only the pool's smallest share of connections is used.
-constexpr std::chrono::seconds SettleTime{3};
 /// The balancer asks for readiness once a second and needs two misses, so new
 /// connections come for two seconds after a stop began.
 constexpr std::chrono::milliseconds AcceptTime{2600};
@@ -38,6 +32,7 @@
 
 DispatchOptions optionsFor(const FleetSettings &Settings) {
   DispatchOptions Options;
+  Options.m_Vm = Settings.m_Vm;
   Options.m_Domain = Settings.m_Domain;
   Options.m_RepeatRatio = Settings.m_RepeatRatio;
   Options.m_RepeatSlack = Settings.m_RepeatSlack;
@@ -73,8 +68,6 @@
 
 Result<Done, HttpError> EntryTraffic::start() {
   m_Driver.start();
-  m_StartedAt = m_Timers.now();
-  m_Periodic.push_back(m_Timers.after(SettleTime, [this] { updateShares(); }));
   struct Listener {
     HttpServer &m_Server;
     const std::optional<Endpoint> &m_Address;
@@ -104,8 +97,8 @@
 void EntryTraffic::setRoutes(std::shared_ptr<const RouteTable> Routes) {
   m_Callers.setLimits(limitsFor(Routes->config().m_Limits));
   m_Routes = Routes;
-  updateShares();
   m_Dispatcher.setRoutes(std::move(Routes));
+  updateShares();
 }
 
 void EntryTraffic::setDomainsOut(const std::set<FailureDomain> &Out) {
@@ -114,29 +107,27 @@
 
 void EntryTraffic::setLeafs(const LeafList &List) {
   m_Dispatcher.setLeafs(List);
+  updateShares();
   // Leafs of the own failure domain are asked first. A connection costs a leaf
   // several milliseconds, which the first requests would wait for.
   for (const ListedLeaf &Leaf : List)
     if (Leaf.m_Domain == m_Settings.m_Domain &&
         Leaf.m_State == ListedState::Ready && Leaf.m_ColdFor == Duration{0} &&
-        m_Routes && m_Routes->service(Leaf.m_Service))
+        m_Routes && m_Routes->service(Leaf.m_Service) &&
+        m_Dispatcher.uses(Leaf.m_Id))
       m_Pool.warm(Leaf);
 }
 
 void EntryTraffic::setEntryCount(std::size_t Count) {
-  m_EntryCount = Count;
-  updateShares();
   m_Dispatcher.setEntryCount(Count);
+  updateShares();
 }
 
 void EntryTraffic::updateShares() {
-  if (!m_Routes || m_Timers.now() - m_StartedAt < SettleTime)
+  if (!m_Routes)
     return;
   for (const RoutedService &Service : m_Routes->config().m_Services)
-    m_Pool.setShare(
-        Service.m_Name,
-        static_cast<std::uint32_t>(ConnectionShare * Service.m_MaxConnections /
-                                   static_cast<double>(m_EntryCount)));
+    m_Pool.setShare(Service.m_Name, m_Dispatcher.share(Service).m_Connections);
 }
 
 void EntryTraffic::onCaller(const std::shared_ptr<HttpExchange> &Exchange) {
--- a/src/ragwortdrift/fleet/fleet_test.cpp
+++ b/src/ragwortdrift/fleet/fleet_test.cpp
@@ -162,14 +162,14 @@
 
 /// The control state of an entry VM, with all that it told its traffic thread.
 struct Entry {
-  explicit Entry(Fleet &Of)
-      : m_Control(Of.m_Io, settings(Of), lineFormat(), &readVersion,
+  explicit Entry(Fleet &Of, const char *Name = "entry")
+      : m_Control(Of.m_Io, settings(Of, Name), lineFormat(), &readVersion,
                   updates()) {
     m_Control.start();
   }
-  static FleetSettings settings(const Fleet &Of) {
+  static FleetSettings settings(const Fleet &Of, const char *Name) {
     FleetSettings Out = Of.settings(0, false);
-    Out.m_Vm = VmId{"entry"};
+    Out.m_Vm = VmId{Name};
     return Out;
   }
   EntryUpdates updates() {
@@ -181,12 +181,13 @@
       m_DomainsOut = std::move(Domains);
     };
     Out.m_Leafs = [this](const LeafList &List) { m_Lists.push_back(List); };
-    Out.m_EntryCount = [](std::size_t) {};
+    Out.m_EntryCount = [this](std::size_t Count) { m_EntryCount = Count; };
     return Out;
   }
 
   std::vector<std::uint64_t> m_Versions;
   std::set<FailureDomain> m_DomainsOut;
+  std::size_t m_EntryCount = 0;
   std::vector<LeafList> m_Lists;
   EntryControl m_Control;
 };
@@ -353,6 +354,29 @@
                std::chrono::nanoseconds(3s).count());
 }
 
+// Guards against entry VMs that all take the share of a single one when the
+// whole fleet restarts.
+Test(fleet, remembers_the_number_of_entry_vms) {
+  Fleet F(3);
+  F.startFounders();
+  F.submitUntilClear(0, Fleet::config(1));
+  {
+    Entry A(F, "a"), B(F, "b"), C(F, "c");
+    cr_assert(F.runUntil([&] { return A.m_EntryCount == 3; }));
+    cr_assert(F.runUntil([&] {
+      const auto State = F.read(0);
+      return isOk(State) && valueOf(State).m_EntryCount == 3;
+    }));
+  }
+  for (auto &Node : F.m_Nodes)
+    Node.reset();
+  for (std::size_t I = 0; I < 3; ++I)
+    F.start(I, false);
+  Entry Alone(F, "a");
+  cr_assert(F.runUntil([&] { return !Alone.m_Versions.empty(); }));
+  cr_assert_eq(Alone.m_EntryCount, 3U);
+}
+
 // Guards against an entry VM that is cut off from the core and goes on with an
 // old list.
 Test(fleet, reads_the_list_itself_without_the_core) {
--- a/src/ragwortdrift/routing/routing_state.cpp
+++ b/src/ragwortdrift/routing/routing_state.cpp
@@ -26,6 +26,14 @@
   return OrderOutcome::Accepted;
 }
 
+OrderOutcome apply(RoutingState &State, const RaiseEntryCount &Order) {
+  if (Order.m_Count <= State.m_EntryCount)
+    return OrderOutcome::Unchanged;
+  State.m_EntryCount = Order.m_Count;
+  ++State.m_Revision;
+  return OrderOutcome::Accepted;
+}
+
 } // namespace
 
 OrderOutcome applyOrder(RoutingState &State, const RoutingOrder &Order) {
--- a/src/ragwortdrift/routing/routing_test.cpp
+++ b/src/ragwortdrift/routing/routing_test.cpp
@@ -150,9 +150,16 @@
     RoutingState State;
     ConfigText Highest;
     std::set<FailureDomain> Out;
+    std::uint32_t MostEntries = 0;
     for (int Step = 0; Step < 100; ++Step) {
       const std::uint64_t Revision = State.m_Revision;
-      if (Random() % 3 == 0) {
+      if (Random() % 8 == 0) {
+        const auto Count = static_cast<std::uint32_t>(Random() % 20);
+        const auto Outcome = applyOrder(State, RaiseEntryCount{Count});
+        cr_assert_eq(Outcome, Count > MostEntries ? OrderOutcome::Accepted
+                                                  : OrderOutcome::Unchanged);
+        MostEntries = std::max(MostEntries, Count);
+      } else if (Random() % 3 == 0) {
         const FailureDomain Domain{std::string(1, char('a' + Random() % 3))};
         const bool TakeOut = Random() % 2 == 0;
         const bool Changes = Out.contains(Domain) != TakeOut;
@@ -176,6 +183,7 @@
       }
       cr_assert(State.m_Config == Highest, "seed %u, step %d", Seed, Step);
       cr_assert(State.m_DomainsOut == Out, "seed %u, step %d", Seed, Step);
+      cr_assert_eq(State.m_EntryCount, MostEntries);
       cr_assert_geq(State.m_Revision, Revision);
       const auto Restored = decode<RoutingState>(encode(State));
       cr_assert(isOk(Restored) && valueOf(Restored) == State);
