--- a/src/ragwortdrift/dispatch/dispatcher.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher.cpp
@@ -23,7 +23,7 @@
 constexpr double RatioShare = 0.95;
 constexpr std::chrono::milliseconds ProbeTimeout{400};
 constexpr std::chrono::milliseconds FirstProbeRetry{250};
-constexpr std::chrono::milliseconds LastProbeRetry{1500};
+constexpr std::chrono::milliseconds LastProbeRetry{600};
 /// Time a caller should wait after a refusal: spells of overload or of a shard
 /// without leafs are short, and a VM that starts needs longer.
 constexpr std::chrono::milliseconds BusyRetryAfter{100};
--- a/src/ragwortdrift/dispatch/leaf_view.cpp
+++ b/src/ragwortdrift/dispatch/leaf_view.cpp
@@ -25,9 +25,9 @@
 /// Another failure domain costs bytes between domains and a longer way.
 constexpr double OtherDomainCost = 0.4;
 constexpr double QueueCost = 1;
-/// Above all other costs: a connection to a leaf that this VM does not use may
-/// be one too many for the leaf.
-constexpr double UnusedCost = 1000;
+/// A connection to a leaf that this VM does not use may be one too many for the
+/// leaf; still better than one that refuses a third of its requests.
+constexpr double UnusedCost = 3;
 /// Leafs whose costs differ by less are equally good.
 constexpr double EqualCost = 0.15;
 
