--- a/src/ragwortdrift/consensus/raft_core.cpp
+++ b/src/ragwortdrift/consensus/raft_core.cpp
@@ -201,8 +201,8 @@
 void RaftCore::resetElectionTimer() {
   m_LeaderSeen = m_LeaderSeen || m_Leader || m_Role == RaftRole::Leader;
   const bool First = !m_LeaderSeen && m_Options.m_FirstElectionTicksMax > 0;
-  const unsigned Max = First ? m_Options.m_FirstElectionTicksMax
-                             : m_Options.m_ElectionTicksMax;
+  const unsigned Max =
+      First ? m_Options.m_FirstElectionTicksMax : m_Options.m_ElectionTicksMax;
   const unsigned Min = First ? Max / 2 : m_Options.m_ElectionTicksMin;
   m_Elapsed = 0;
   m_Timeout = Min + static_cast<unsigned>(m_Engine() % (Max - Min + 1));
