--- /dev/null
+++ b/include/ragwortdrift/base/read_file.hpp
@@ -0,0 +1,14 @@
+#ifndef RAGWORTDRIFT_BASE_READ_FILE_HPP
+#define RAGWORTDRIFT_BASE_READ_FILE_HPP
+
+#include <optional>
+#include <string>
+
+namespace ragwortdrift {
+
+/// The bytes of a file; nothing when it cannot be read.
+std::optional<std::string> readFile(const std::string &Path);
+
+} // namespace ragwortdrift
+
+#endif
--- a/include/ragwortdrift/dispatch/dispatcher.hpp
+++ b/include/ragwortdrift/dispatch/dispatcher.hpp
@@ -25,8 +25,6 @@
   std::size_t m_MaxInFlight = 400;
   /// Time of an answer from here to its caller.
   Duration m_CallerDelay = std::chrono::milliseconds(3);
-  /// How long the list of leafs may lag.
-  Duration m_ListLag = std::chrono::milliseconds(800);
 };
 
 class RequestRun;
@@ -63,7 +61,7 @@
   /// connections.
   void setEntryCount(std::size_t Count);
   /// What this VM may use of a service's leafs.
-  LeafShare share(const RoutedService &Of) const;
+  LeafShare share(const RoutedService &Service) const;
   /// Whether this VM uses a leaf regularly.
   bool uses(const LeafId &Id) const;
   /// A leaf ended an idle connection early: it may have been restarted.
@@ -92,9 +90,8 @@
 
   /// The budget of a service, with what it has earned until now.
   HedgeBudget &budget(const ServiceName &Service);
-  RouteStats &stats(const Route &Of) { return m_Stats[Of.m_Name]; }
-  void verify(const std::shared_ptr<LeafView> &View, std::string_view Cause,
-              Duration FirstDelay);
+  RouteStats &stats(const Route &Target) { return m_Stats[Target.m_Name]; }
+  void verify(const std::shared_ptr<LeafView> &View, std::string_view Cause);
   void probe(const std::shared_ptr<LeafView> &View, Duration RetryDelay);
   void onProbe(const std::shared_ptr<LeafView> &View, Duration RetryDelay,
                const Result<HttpResponse, HttpError> &Outcome);
@@ -105,7 +102,7 @@
   /// Notes whether a leaf could be reached at all.
   void onReached(const LeafView &Leaf);
   void onUnreached(const LeafView &Leaf);
-  bool canServe(const Route &Of) const;
+  bool canServe(const Route &Target) const;
 
   TimerService &m_Timers;
   LeafTransport &m_Transport;
--- a/include/ragwortdrift/dispatch/leaf_pool.hpp
+++ b/include/ragwortdrift/dispatch/leaf_pool.hpp
@@ -54,8 +54,6 @@
   /// Closes connections that were not used for a while, and forgets leafs
   /// without connections. Called periodically.
   void closeIdle();
-  /// Closes the idle connections of a leaf that is not to be asked again.
-  void drop(const LeafId &Leaf);
 
   std::size_t connections() const;
   std::uint64_t connectionsOpened() const { return m_Opened; }
@@ -91,14 +89,15 @@
 
   LeafPtr &leaf(const ListedLeaf &Listed);
 
-  void startNext(const LeafPtr &Of);
-  Connection takeIdle(Leaf &Of);
-  void openConnection(const LeafPtr &Of, const std::shared_ptr<Request> &Item);
-  void sendOn(const LeafPtr &Of, const std::shared_ptr<Request> &Item,
+  void startNext(const LeafPtr &Upstream);
+  Connection takeIdle(Leaf &Upstream);
+  void openConnection(const LeafPtr &Upstream,
+                      const std::shared_ptr<Request> &Item);
+  void sendOn(const LeafPtr &Upstream, const std::shared_ptr<Request> &Item,
               const Connection &On);
   void finish(const std::shared_ptr<Request> &Item,
               Result<HttpResponse, HttpError> Outcome);
-  void keep(const LeafPtr &Of, const Connection &Kept, Duration KeepFor,
+  void keep(const LeafPtr &Upstream, const Connection &Kept, Duration KeepFor,
             bool Used);
   std::uint32_t share(const ServiceName &Service) const;
 
--- a/include/ragwortdrift/dispatch/leaf_view.hpp
+++ b/include/ragwortdrift/dispatch/leaf_view.hpp
@@ -40,7 +40,6 @@
 
   /// An unverified leaf gets no request until a health probe succeeds.
   void setVerified(bool Verified) { m_Verified = Verified; }
-  bool verified() const { return m_Verified; }
   void setColdFor(TimePoint Now, Duration Left);
 
   void onSent() { ++m_Open; }
@@ -57,8 +56,6 @@
 
   /// Expected cost of sending the next request; the lowest is best.
   double cost(TimePoint Now, const FailureDomain &Own) const;
-  unsigned open() const { return m_Open; }
-  bool overdue() const { return m_Overdue > 0; }
 
 private:
   double faded(TimePoint Now, double Value, double Neutral) const;
--- a/include/ragwortdrift/dispatch/request_run.hpp
+++ b/include/ragwortdrift/dispatch/request_run.hpp
@@ -56,8 +56,8 @@
 public:
   /// WaitLeft is how long the caller will wait from now.
   RequestRun(Dispatcher &Owner, std::shared_ptr<const RouteTable> Routes,
-             const Route &Of, const HttpRequest &Request, Duration WaitLeft,
-             Dispatcher::AnswerFn Answer);
+             const Route &Matched, const HttpRequest &Request,
+             Duration WaitLeft, Dispatcher::AnswerFn Answer);
 
   void start();
   /// The caller is gone: ends all tries at once, and no answer is given.
@@ -86,23 +86,23 @@
   };
 
   // Tries.
-  unsigned possibleRuns(const Part &Of) const;
-  bool hasOpenTry(const Part &Of) const;
+  unsigned possibleRuns(const Part &CurrentPart) const;
+  bool hasOpenTry(const Part &CurrentPart) const;
   void send(std::size_t PartIndex);
-  bool mayRepeat(const Part &Of) const;
+  bool mayRepeat(const Part &CurrentPart) const;
   /// Nothing can be sent for a part now, for want of a token or of a leaf.
-  void waitOrGiveUp(Part &Of, bool ForToken);
+  void waitOrGiveUp(Part &CurrentPart, bool ForToken);
   HttpRequest leafRequest(const LeafView &Leaf) const;
   void onOutcome(std::size_t PartIndex, std::size_t TryIndex,
                  Result<HttpResponse, HttpError> &Outcome);
   TryOutcome classify(const Result<HttpResponse, HttpError> &Outcome) const;
   void observe(Try &Ended, const Result<HttpResponse, HttpError> &Outcome);
   void continuePart(std::size_t PartIndex);
-  void abandon(Try &Given);
+  void abandon(Try &Attempt);
 
   // Time.
   void step();
-  void markOverdue(Part &Of);
+  void markOverdue(Part &CurrentPart);
   void schedule();
   Duration hedgeDelay() const;
 
--- a/include/ragwortdrift/fleet/fleet_settings.hpp
+++ b/include/ragwortdrift/fleet/fleet_settings.hpp
@@ -34,7 +34,6 @@
   Endpoint m_LeafList;
   /// Calls a second that the list accepts from all VMs together.
   double m_LeafListRate = 10;
-  Duration m_LeafListLag = std::chrono::milliseconds(800);
   double m_RepeatRatio = 0.2;
   double m_RepeatSlack = 50;
   Duration m_RepeatWindow = std::chrono::seconds(10);
--- a/include/ragwortdrift/routing/route_config.hpp
+++ b/include/ragwortdrift/routing/route_config.hpp
@@ -60,7 +60,7 @@
 };
 
 /// How many services of a route have to answer for a success.
-std::size_t requiredParts(const Route &Of);
+std::size_t requiredParts(const Route &Target);
 
 /// What is known of a service beside its leafs.
 struct RoutedService {
--- a/src/ragwortdrift/dispatch/dispatch_fixture.hpp
+++ b/src/ragwortdrift/dispatch/dispatch_fixture.hpp
@@ -39,20 +39,20 @@
   /// Open requests to a service that are no health probes, oldest first.
   std::vector<SendId> openTo(const std::string &Service) const {
     std::vector<SendId> Out;
-    for (const auto &[Id, Each] : m_Open)
-      if (Each.m_Leaf.m_Service.m_Value == Service && !isProbe(Each))
+    for (const auto &[Id, Item] : m_Open)
+      if (Item.m_Leaf.m_Service.m_Value == Service && !isProbe(Item))
         Out.push_back(Id);
     return Out;
   }
   std::vector<SendId> probes() const {
     std::vector<SendId> Out;
-    for (const auto &[Id, Each] : m_Open)
-      if (isProbe(Each))
+    for (const auto &[Id, Item] : m_Open)
+      if (isProbe(Item))
         Out.push_back(Id);
     return Out;
   }
-  static bool isProbe(const FakeSend &Each) {
-    return Each.m_Request.target() == "/healthz";
+  static bool isProbe(const FakeSend &Item) {
+    return Item.m_Request.target() == "/healthz";
   }
 
   std::map<SendId, FakeSend> m_Open;
--- a/src/ragwortdrift/dispatch/dispatcher.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher.cpp
@@ -1,4 +1,5 @@
 #include "ragwortdrift/dispatch/dispatcher.hpp"
+#include "parse_millis.hpp"
 
 #include "ragwortdrift/dispatch/request_run.hpp"
 #include "ragwortdrift/net/http_server.hpp"
@@ -6,7 +7,6 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <algorithm>
-#include <charconv>
 
 namespace ragwortdrift {
 
@@ -21,30 +21,10 @@
 /// A service is seldom asked at the very ratio; a little is kept for repeats
 /// that cross the edges of the window.
 constexpr double RatioShare = 0.95;
-constexpr std::chrono::milliseconds ProbeTimeout{400};
-constexpr std::chrono::milliseconds FirstProbeRetry{250};
-constexpr std::chrono::milliseconds LastProbeRetry{600};
 /// Time a caller should wait after a refusal: spells of overload or of a shard
 /// without leafs are short, and a VM that starts needs longer.
 constexpr std::chrono::milliseconds BusyRetryAfter{100};
 constexpr std::chrono::milliseconds StartRetryAfter{500};
-/// A VM is isolated when no leaf of another failure domain was reached for this
-/// long and this many attempts failed. A pause of a leaf is shorter, and lost
-/// leafs fail fewer attempts while others are reached.
-constexpr std::chrono::milliseconds IsolationTime{500};
-constexpr std::size_t IsolationAttempts = 10;
-/// Longest wait that a caller may ask for.
-constexpr std::chrono::minutes MaxWait{10};
-
-std::optional<Duration> parseMillis(std::string_view Text) {
-  std::int64_t Value = 0;
-  const auto [End, Error] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
-  if (Error != std::errc{} || End != Text.data() + Text.size() || Value < 0)
-    return std::nullopt;
-  return std::min<Duration>(std::chrono::milliseconds(Value), MaxWait);
-}
-
 } // namespace
 
 HttpResponse notRunResponse(std::string_view Reason, Duration RetryAfter) {
@@ -77,9 +57,9 @@
             {"routes", Routes->config().m_Routes.size()}});
   m_Routes = std::move(Routes);
   std::map<std::string, RouteStats> Kept;
-  for (const Route &Each : m_Routes->config().m_Routes) {
-    RouteStats &Stats = Kept[Each.m_Name];
-    const auto Known = m_Stats.find(Each.m_Name);
+  for (const Route &Item : m_Routes->config().m_Routes) {
+    RouteStats &Stats = Kept[Item.m_Name];
+    const auto Known = m_Stats.find(Item.m_Name);
     if (Known != m_Stats.end())
       Stats = Known->second;
     // Weights and waits may differ from those of the former version.
@@ -90,8 +70,8 @@
   limitUse();
 }
 
-LeafShare Dispatcher::share(const RoutedService &Of) const {
-  return leafShare(Of.m_MaxConnections, m_Leafs.leafCount(Of.m_Name),
+LeafShare Dispatcher::share(const RoutedService &Service) const {
+  return leafShare(Service.m_MaxConnections, m_Leafs.leafCount(Service.m_Name),
                    m_EntryCount);
 }
 
@@ -103,8 +83,8 @@
 void Dispatcher::limitUse() {
   if (!m_Routes)
     return;
-  for (const RoutedService &Each : m_Routes->config().m_Services)
-    m_Leafs.limitUse(Each.m_Name, share(Each).m_Leafs, m_Options.m_Vm,
+  for (const RoutedService &Item : m_Routes->config().m_Services)
+    m_Leafs.limitUse(Item.m_Name, share(Item).m_Leafs, m_Options.m_Vm,
                      m_Options.m_Domain);
 }
 
@@ -114,20 +94,20 @@
                 [&](const auto &Entry) { return !m_Leafs.find(Entry.first); });
   limitUse();
   for (const auto &View : ToVerify)
-    verify(View, "started", Duration{0});
+    verify(View, "started");
 }
 
 void Dispatcher::setDomainsOut(const std::set<FailureDomain> &Out) {
   // Leafs may have become cold while their domain was out, which the list does
   // not show yet.
   for (const auto &View : m_Leafs.setDomainsOut(Out))
-    verify(View, "domain back in", Duration{0});
+    verify(View, "domain back in");
 }
 
 void Dispatcher::setEntryCount(std::size_t Count) {
   m_EntryCount = std::max<std::size_t>(Count, 1);
-  for (auto &[Service, Each] : m_Budgets)
-    Each.m_Tokens.setBurst(burst());
+  for (auto &[Service, Item] : m_Budgets)
+    Item.m_Tokens.setBurst(burst());
   limitUse();
 }
 
@@ -145,128 +125,19 @@
               Budget{HedgeBudget(RatioShare * m_Options.m_RepeatRatio, burst()),
                      m_StartedAt})
           .first;
-  Budget &Of = Found->second;
+  Budget &Account = Found->second;
   // A VM that restarts begins without tokens, since those of its former life
   // may have been spent in this window.
-  Of.m_Tokens.earn(
+  Account.m_Tokens.earn(
       SlackShare * m_Options.m_RepeatSlack / static_cast<double>(m_EntryCount) *
-      toMillis(Now - Of.m_EarnedAt) / toMillis(m_Options.m_RepeatWindow));
-  Of.m_EarnedAt = Now;
-  return Of.m_Tokens;
+      toMillis(Now - Account.m_EarnedAt) / toMillis(m_Options.m_RepeatWindow));
+  Account.m_EarnedAt = Now;
+  return Account.m_Tokens;
 }
 
 void Dispatcher::onIdleEnd(const LeafId &Id) {
   if (const auto View = m_Leafs.find(Id))
-    verify(View, "idle connection ended", Duration{0});
-}
-
-void Dispatcher::verify(const std::shared_ptr<LeafView> &View,
-                        std::string_view Cause, Duration FirstDelay) {
-  const LeafId &Id = View->listed().m_Id;
-  if (m_Probes.contains(Id))
-    return;
-  View->setVerified(false);
-  m_Log.write(
-      m_Timers.now(), "leaf.unverified",
-      {{"leaf", Id}, {"service", View->listed().m_Service}, {"cause", Cause}});
-  m_Probes[Id] = m_Timers.after(FirstDelay,
-                                [this, View] { probe(View, FirstProbeRetry); });
-}
-
-void Dispatcher::probe(const std::shared_ptr<LeafView> &View,
-                       Duration RetryDelay) {
-  const RoutedService *Service =
-      m_Routes ? m_Routes->service(View->listed().m_Service) : nullptr;
-  const LeafBar Bar = View->bar(m_Timers.now());
-  if (Bar == LeafBar::Draining || Bar == LeafBar::DomainOut || !Service) {
-    // Nothing is sent to it now; a probe follows when it may be used again.
-    m_Probes[View->listed().m_Id] = m_Timers.after(
-        LastProbeRetry, [this, View] { probe(View, FirstProbeRetry); });
-    return;
-  }
-  HttpRequest Health{http::verb::get, Service->m_HealthPath, 11};
-  Health.set(http::field::host, View->listed().m_Address.m_Ip);
-  m_Metrics.counter("ragwortdrift_probes_total").add();
-  m_Transport.send(View->listed(), std::move(Health), ProbeTimeout,
-                   [this, Alive = std::weak_ptr(m_Alive), View, RetryDelay](
-                       const Result<HttpResponse, HttpError> &Outcome) {
-                     if (!Alive.expired())
-                       onProbe(View, RetryDelay, Outcome);
-                   });
-}
-
-void Dispatcher::onProbe(const std::shared_ptr<LeafView> &View,
-                         Duration RetryDelay,
-                         const Result<HttpResponse, HttpError> &Outcome) {
-  const LeafId &Id = View->listed().m_Id;
-  if (m_Leafs.find(Id) != View) {
-    m_Probes.erase(Id);
-    return;
-  }
-  if (isOk(Outcome))
-    onReached(*View);
-  else
-    onUnreached(*View);
-  const bool Healthy = isOk(Outcome) && valueOf(Outcome).result_int() == 200 &&
-                       valueOf(Outcome)[m_Protocol.m_LeafId] == Id.m_Value;
-  std::optional<Duration> ColdFor;
-  if (Healthy) {
-    const auto Field = valueOf(Outcome)[m_Protocol.m_ColdFor];
-    ColdFor = parseMillis({Field.data(), Field.size()});
-  }
-  m_Log.write(m_Timers.now(), "leaf.probed",
-              {{"leaf", Id},
-               {"healthy", Healthy},
-               {"cold_ms", ColdFor.value_or(Duration{0})},
-               {"error", isOk(Outcome) ? std::string_view()
-                                       : nameOf(errorOf(Outcome).m_Code)}});
-  if (!Healthy) {
-    m_Probes[Id] = m_Timers.after(RetryDelay, [this, View, RetryDelay] {
-      probe(View, std::min<Duration>(2 * RetryDelay, LastProbeRetry));
-    });
-    return;
-  }
-  if (ColdFor)
-    View->setColdFor(m_Timers.now(), *ColdFor);
-  View->setVerified(true);
-  m_Probes.erase(Id);
-}
-
-void Dispatcher::onReached(const LeafView &Leaf) {
-  if (Leaf.listed().m_Domain == m_Options.m_Domain)
-    return;
-  m_ReachedOthersAt = m_Timers.now();
-  m_UnreachedOthers = 0;
-}
-
-void Dispatcher::onUnreached(const LeafView &Leaf) {
-  if (Leaf.listed().m_Domain != m_Options.m_Domain)
-    ++m_UnreachedOthers;
-}
-
-bool Dispatcher::canServe(const Route &Of) const {
-  const auto Usable = static_cast<std::size_t>(
-      std::count_if(Of.m_Services.begin(), Of.m_Services.end(),
-                    [&](const WeightedService &Each) {
-                      return m_Leafs.hasUsable(Each.m_Service, m_Timers.now());
-                    }));
-  return Usable >= requiredParts(Of);
-}
-
-void Dispatcher::checkIsolation() {
-  if (!m_Routes)
-    return;
-  const std::vector<Route> &Routes = m_Routes->config().m_Routes;
-  const bool OthersSilent = m_UnreachedOthers >= IsolationAttempts &&
-                            m_Timers.now() - m_ReachedOthersAt >= IsolationTime;
-  const bool Isolated =
-      OthersSilent &&
-      !std::all_of(Routes.begin(), Routes.end(),
-                   [&](const Route &Each) { return canServe(Each); });
-  if (std::exchange(m_Isolated, Isolated) != Isolated)
-    logEvent(LogSeverity::Warning, Isolated ? "vm.isolated" : "vm.rejoined",
-             {{"failed_attempts", m_UnreachedOthers},
-              {"others_silent_ms", m_Timers.now() - m_ReachedOthersAt}});
+    verify(View, "idle connection ended");
 }
 
 std::shared_ptr<RequestRun> Dispatcher::dispatch(const HttpRequest &Request,
--- a/src/ragwortdrift/dispatch/dispatcher_test.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher_test.cpp
@@ -263,10 +263,10 @@
     }
     constexpr std::size_t Window = 1000;
     for (std::size_t From = 0; From + Window <= Extra.size(); From += 10) {
-      const auto Sum = [&](const std::vector<int> &Of) {
+      const auto Sum = [&](const std::vector<int> &Subject) {
         return std::accumulate(
-            Of.begin() + static_cast<std::ptrdiff_t>(From),
-            Of.begin() + static_cast<std::ptrdiff_t>(From + Window), 0);
+            Subject.begin() + static_cast<std::ptrdiff_t>(From),
+            Subject.begin() + static_cast<std::ptrdiff_t>(From + Window), 0);
       };
       cr_assert_leq(Sum(Extra),
                     Options.m_RepeatRatio * Sum(Requests) +
@@ -434,14 +434,14 @@
       F.ask("/s/", 600);
       for (int Tick = 0; Tick < 15; ++Tick) {
         F.pass(10ms);
-        for (const auto &[Id, Each] : std::map(F.m_Transport.m_Open)) {
+        for (const auto &[Id, Item] : std::map(F.m_Transport.m_Open)) {
           if (!F.m_Transport.m_Open.contains(Id))
             continue;
-          if (Cut && IsCut(Each.m_Leaf)) {
+          if (Cut && IsCut(Item.m_Leaf)) {
             F.m_Transport.end(Id, F.unsent());
-          } else if (FakeTransport::isProbe(Each)) {
+          } else if (FakeTransport::isProbe(Item)) {
             HttpResponse Healthy{boost::beast::http::status::ok, 11};
-            Healthy.set("T-Leaf", Each.m_Leaf.m_Id.m_Value);
+            Healthy.set("T-Leaf", Item.m_Leaf.m_Id.m_Value);
             F.m_Transport.end(Id, Healthy);
           } else {
             F.m_Transport.end(Id, F.answerOf(Id));
--- a/src/ragwortdrift/dispatch/leaf_pool.cpp
+++ b/src/ragwortdrift/dispatch/leaf_pool.cpp
@@ -55,56 +55,57 @@
 LeafPool::~LeafPool() = default;
 
 LeafPool::LeafPtr &LeafPool::leaf(const ListedLeaf &Listed) {
-  LeafPtr &Of = m_Leafs[Listed.m_Id];
-  if (!Of || Of->m_Address != Listed.m_Address) {
-    Of = std::make_shared<Leaf>();
-    Of->m_Id = Listed.m_Id;
-    Of->m_Service = Listed.m_Service;
-    Of->m_Address = Listed.m_Address;
+  LeafPtr &Upstream = m_Leafs[Listed.m_Id];
+  if (!Upstream || Upstream->m_Address != Listed.m_Address) {
+    Upstream = std::make_shared<Leaf>();
+    Upstream->m_Id = Listed.m_Id;
+    Upstream->m_Service = Listed.m_Service;
+    Upstream->m_Address = Listed.m_Address;
   }
-  return Of;
+  return Upstream;
 }
 
 void LeafPool::warm(const ListedLeaf &Target) {
-  const LeafPtr Of = leaf(Target);
-  if (Of->m_Open > 0)
+  const LeafPtr Upstream = leaf(Target);
+  if (Upstream->m_Open > 0)
     return;
-  ++Of->m_Open;
+  ++Upstream->m_Open;
   ++m_Opened;
   auto Fresh = std::make_shared<HttpClientConnection>(m_Io);
-  Fresh->connect(Of->m_Address.m_Ip, Of->m_Address.m_Port, ConnectTimeout,
-                 [this, Alive = std::weak_ptr(m_Alive), Of,
+  Fresh->connect(Upstream->m_Address.m_Ip, Upstream->m_Address.m_Port,
+                 ConnectTimeout,
+                 [this, Alive = std::weak_ptr(m_Alive), Upstream,
                   Fresh](const Result<Done, HttpError> &Connected) {
                    if (Alive.expired())
                      return;
                    if (isOk(Connected))
-                     keep(Of, Fresh, DefaultKeep, false);
+                     keep(Upstream, Fresh, DefaultKeep, false);
                    else
-                     --Of->m_Open;
-                   startNext(Of);
+                     --Upstream->m_Open;
+                   startNext(Upstream);
                  });
 }
 
 SendId LeafPool::send(const ListedLeaf &Target, HttpRequest Http,
                       Duration Timeout, Callback Fn) {
-  const LeafPtr Of = leaf(Target);
+  const LeafPtr Upstream = leaf(Target);
   auto Item = std::make_shared<Request>();
   Item->m_Id = m_NextId++;
   Item->m_Http = std::move(Http);
   Item->m_Deadline = m_Timers.now() + Timeout;
   Item->m_Fn = std::move(Fn);
-  m_Requests.emplace(Item->m_Id, std::pair(Of, Item));
-  Of->m_Waiting.push_back(Item);
+  m_Requests.emplace(Item->m_Id, std::pair(Upstream, Item));
+  Upstream->m_Waiting.push_back(Item);
   Item->m_Timer =
-      m_Timers.after(Timeout, [this, Of, Weak = std::weak_ptr(Item)] {
+      m_Timers.after(Timeout, [this, Upstream, Weak = std::weak_ptr(Item)] {
         const auto Late = Weak.lock();
         if (!Late || Late->m_Connection)
           return;
-        std::erase(Of->m_Waiting, Late);
+        std::erase(Upstream->m_Waiting, Late);
         finish(Late, HttpError{HttpErrorCode::Timeout, false, "no slot"});
-        startNext(Of);
+        startNext(Upstream);
       });
-  startNext(Of);
+  startNext(Upstream);
   return Item->m_Id;
 }
 
@@ -112,75 +113,76 @@
   auto Node = m_Requests.extract(Id);
   if (Node.empty())
     return;
-  const auto [Of, Item] = Node.mapped();
+  const auto [Upstream, Item] = Node.mapped();
   Item->m_Fn = nullptr;
   Item->m_Timer.reset();
-  std::erase(Of->m_Waiting, Item);
+  std::erase(Upstream->m_Waiting, Item);
   if (Item->m_Connection)
     Item->m_Connection->close();
 }
 
-void LeafPool::startNext(const LeafPtr &Of) {
-  while (!Of->m_Waiting.empty()) {
-    const auto Item = Of->m_Waiting.front();
+void LeafPool::startNext(const LeafPtr &Upstream) {
+  while (!Upstream->m_Waiting.empty()) {
+    const auto Item = Upstream->m_Waiting.front();
     // Its timer ends it; it must not be sent in the meantime.
     if (Item->m_Deadline - m_Timers.now() < MinTimeout)
       return;
-    if (const Connection Kept = takeIdle(*Of)) {
-      Of->m_Waiting.pop_front();
-      sendOn(Of, Item, Kept);
-    } else if (Of->m_Open < share(Of->m_Service)) {
-      Of->m_Waiting.pop_front();
-      openConnection(Of, Item);
+    if (const Connection Kept = takeIdle(*Upstream)) {
+      Upstream->m_Waiting.pop_front();
+      sendOn(Upstream, Item, Kept);
+    } else if (Upstream->m_Open < share(Upstream->m_Service)) {
+      Upstream->m_Waiting.pop_front();
+      openConnection(Upstream, Item);
     } else {
       return;
     }
   }
 }
 
-LeafPool::Connection LeafPool::takeIdle(Leaf &Of) {
-  while (!Of.m_Idle.empty()) {
-    const Idle Last = std::move(Of.m_Idle.back());
-    Of.m_Idle.pop_back();
+LeafPool::Connection LeafPool::takeIdle(Leaf &Upstream) {
+  while (!Upstream.m_Idle.empty()) {
+    const Idle Last = std::move(Upstream.m_Idle.back());
+    Upstream.m_Idle.pop_back();
     if (Last.m_Connection->usable() &&
         m_Timers.now() - Last.m_Since < Last.m_KeepFor)
       return Last.m_Connection;
     Last.m_Connection->onIdleEnd(nullptr);
     Last.m_Connection->close();
-    --Of.m_Open;
+    --Upstream.m_Open;
   }
   return nullptr;
 }
 
-void LeafPool::openConnection(const LeafPtr &Of,
+void LeafPool::openConnection(const LeafPtr &Upstream,
                               const std::shared_ptr<Request> &Item) {
   auto Fresh = std::make_shared<HttpClientConnection>(m_Io);
   Item->m_Connection = Fresh;
-  ++Of->m_Open;
+  ++Upstream->m_Open;
   ++m_Opened;
   const Duration Left =
       std::max<Duration>(Item->m_Deadline - m_Timers.now(), MinTimeout);
-  Fresh->connect(Of->m_Address.m_Ip, Of->m_Address.m_Port,
+  Fresh->connect(Upstream->m_Address.m_Ip, Upstream->m_Address.m_Port,
                  std::min<Duration>(Left, ConnectTimeout),
-                 [this, Alive = std::weak_ptr(m_Alive), Of, Item,
+                 [this, Alive = std::weak_ptr(m_Alive), Upstream, Item,
                   Fresh](const Result<Done, HttpError> &Connected) {
                    if (Alive.expired())
                      return;
                    if (isOk(Connected) && Item->m_Fn) {
-                     sendOn(Of, Item, Fresh);
+                     sendOn(Upstream, Item, Fresh);
                      return;
                    }
                    if (isOk(Connected) && !Item->m_Fn) {
-                     keep(Of, Fresh, DefaultKeep, false);
+                     keep(Upstream, Fresh, DefaultKeep, false);
                      return;
                    }
-                   --Of->m_Open;
+                   --Upstream->m_Open;
                    finish(Item, errorOf(Connected));
-                   startNext(Of);
+                   startNext(Upstream);
                  });
 }
 
-void LeafPool::sendOn(const LeafPtr &Of, const std::shared_ptr<Request> &Item,
+void LeafPool::sendOn(const LeafPtr &Upstream,
+                      const std::shared_ptr<Request> &Item,
                       const Connection &On) {
   Item->m_Connection = On;
   Item->m_Timer.reset();
@@ -189,7 +191,7 @@
       std::max<Duration>(Item->m_Deadline - m_Timers.now(), MinTimeout);
   std::string RequestId(Item->m_Http[m_RequestIdHeader]);
   On->send(std::move(Item->m_Http), Left,
-           [this, Alive = std::weak_ptr(m_Alive), Of, Item, On,
+           [this, Alive = std::weak_ptr(m_Alive), Upstream, Item, On,
             RequestId](Result<HttpResponse, HttpError> Outcome) {
              if (Alive.expired())
                return;
@@ -200,23 +202,23 @@
                                    "answer to another request"};
              }
              if (On->usable()) {
-               keep(Of, On,
+               keep(Upstream, On,
                     isOk(Outcome) ? statedKeep(valueOf(Outcome)) : DefaultKeep,
                     true);
              } else {
-               --Of->m_Open;
+               --Upstream->m_Open;
              }
              finish(Item, std::move(Outcome));
-             startNext(Of);
+             startNext(Upstream);
            });
 }
 
-void LeafPool::keep(const LeafPtr &Of, const Connection &Kept, Duration KeepFor,
-                    bool Used) {
+void LeafPool::keep(const LeafPtr &Upstream, const Connection &Kept,
+                    Duration KeepFor, bool Used) {
   const Duration Use = std::max<Duration>(KeepFor - KeepMargin, KeepFor / 2);
-  Of->m_Idle.push_back({Kept, m_Timers.now(), Use, Used});
+  Upstream->m_Idle.push_back({Kept, m_Timers.now(), Use, Used});
   Kept->onIdleEnd([this, Alive = std::weak_ptr(m_Alive),
-                   Weak = std::weak_ptr(Of), Ended = Kept.get()] {
+                   Weak = std::weak_ptr(Upstream), Ended = Kept.get()] {
     const auto Leaf = Weak.lock();
     if (Alive.expired() || !Leaf)
       return;
@@ -231,7 +233,7 @@
     if (m_OnIdleEnd && WasUsed)
       m_OnIdleEnd(Leaf->m_Id);
   });
-  startNext(Of);
+  startNext(Upstream);
 }
 
 void LeafPool::finish(const std::shared_ptr<Request> &Item,
@@ -253,36 +255,24 @@
 
 void LeafPool::closeIdle() {
   for (auto It = m_Leafs.begin(); It != m_Leafs.end();) {
-    Leaf &Of = *It->second;
-    std::erase_if(Of.m_Idle, [&](const Idle &Held) {
+    Leaf &Upstream = *It->second;
+    std::erase_if(Upstream.m_Idle, [&](const Idle &Held) {
       if (m_Timers.now() - Held.m_Since < Held.m_KeepFor)
         return false;
       Held.m_Connection->onIdleEnd(nullptr);
       Held.m_Connection->close();
-      --Of.m_Open;
+      --Upstream.m_Open;
       return true;
     });
-    It = Of.m_Open == 0 && Of.m_Waiting.empty() ? m_Leafs.erase(It)
-                                                : std::next(It);
-  }
-}
-
-void LeafPool::drop(const LeafId &Id) {
-  const auto Found = m_Leafs.find(Id);
-  if (Found == m_Leafs.end())
-    return;
-  Leaf &Of = *Found->second;
-  for (const Idle &Held : std::exchange(Of.m_Idle, {})) {
-    Held.m_Connection->onIdleEnd(nullptr);
-    Held.m_Connection->close();
-    --Of.m_Open;
+    It = Upstream.m_Open == 0 && Upstream.m_Waiting.empty() ? m_Leafs.erase(It)
+                                                            : std::next(It);
   }
 }
 
 std::size_t LeafPool::connections() const {
   std::size_t Open = 0;
-  for (const auto &[Id, Of] : m_Leafs)
-    Open += Of->m_Open;
+  for (const auto &[Id, Upstream] : m_Leafs)
+    Open += Upstream->m_Open;
   return Open;
 }
 
--- a/src/ragwortdrift/dispatch/leaf_pool_test.cpp
+++ b/src/ragwortdrift/dispatch/leaf_pool_test.cpp
@@ -72,8 +72,8 @@
   Result<HttpResponse, HttpError> ask(Duration Timeout = 500ms) {
     std::optional<Result<HttpResponse, HttpError>> Out;
     send(
-        [&](Result<HttpResponse, HttpError> &&Given) {
-          Out.emplace(std::move(Given));
+        [&](Result<HttpResponse, HttpError> &&Actual) {
+          Out.emplace(std::move(Actual));
         },
         Timeout);
     cr_assert(runUntil([&] { return Out.has_value(); }));
@@ -154,8 +154,8 @@
   PoolFixture F;
   F.m_Answer.clear();
   std::optional<Result<HttpResponse, HttpError>> Out;
-  F.send([&](Result<HttpResponse, HttpError> &&Given) {
-    Out.emplace(std::move(Given));
+  F.send([&](Result<HttpResponse, HttpError> &&Actual) {
+    Out.emplace(std::move(Actual));
   });
   cr_assert(F.runUntil([&] { return F.m_Requests == 1; }));
   asio::write(*F.m_Sockets[0],
@@ -175,8 +175,8 @@
   int Answered = 0;
   for (int I = 0; I < 5; ++I)
     F.send(
-        [&](const Result<HttpResponse, HttpError> &Given) {
-          Answered += isOk(Given) ? 1 : 0;
+        [&](const Result<HttpResponse, HttpError> &Actual) {
+          Answered += isOk(Actual) ? 1 : 0;
         },
         3s);
   cr_assert(F.runUntil([&] { return F.m_Requests == 2; }));
@@ -198,9 +198,9 @@
   std::vector<HttpError> Errors;
   for (int I = 0; I < 2; ++I)
     F.send(
-        [&](const Result<HttpResponse, HttpError> &Given) {
-          if (!isOk(Given))
-            Errors.push_back(errorOf(Given));
+        [&](const Result<HttpResponse, HttpError> &Actual) {
+          if (!isOk(Actual))
+            Errors.push_back(errorOf(Actual));
         },
         100ms);
   cr_assert(F.runUntil([&] { return Errors.size() == 2; }, 1s));
--- a/src/ragwortdrift/dispatch/leaf_share.cpp
+++ b/src/ragwortdrift/dispatch/leaf_share.cpp
@@ -15,11 +15,13 @@
 
 LeafShare leafShare(std::uint32_t MaxConnections, std::size_t Leafs,
                     std::size_t EntryCount) {
-  const double Each = ConnectionShare * MaxConnections /
-                      static_cast<double>(std::max<std::size_t>(EntryCount, 1));
-  if (Each >= 1)
-    return {static_cast<std::uint32_t>(Each), Leafs};
-  const auto Used = static_cast<std::size_t>(Each * static_cast<double>(Leafs));
+  const double PerVm =
+      ConnectionShare * MaxConnections /
+      static_cast<double>(std::max<std::size_t>(EntryCount, 1));
+  if (PerVm >= 1)
+    return {static_cast<std::uint32_t>(PerVm), Leafs};
+  const auto Used =
+      static_cast<std::size_t>(PerVm * static_cast<double>(Leafs));
   return {1, std::min(Leafs, std::max(Used, MinLeafs))};
 }
 
--- a/src/ragwortdrift/dispatch/request_run.cpp
+++ b/src/ragwortdrift/dispatch/request_run.cpp
@@ -1,8 +1,5 @@
 #include "ragwortdrift/dispatch/request_run.hpp"
-#include "answer_merge.hpp"
-#include "ragwortdrift/net/http_server.hpp"
-
-#include <boost/beast/http/rfc7230.hpp>
+#include "end_to_end_fields.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -26,13 +23,8 @@
 /// of its request. A leaf that is being verified is back within a probe, some
 /// 10 ms.
 constexpr std::chrono::milliseconds NothingToSendWait{60};
-/// Time a caller should wait when no leaf could run its request.
-constexpr std::chrono::milliseconds RefusalRetryAfter{100};
 /// Sends of one part, refused ones included.
 constexpr std::size_t MaxSends = 6;
-/// After the answer, open tries may end by themselves for this long, so that
-/// their connections can be kept. Leafs pause for 120 ms.
-constexpr std::chrono::milliseconds DrainTime{150};
 /// A try that is given up after this is a sign of a silent leaf; shorter ones
 /// may be a pause.
 constexpr std::chrono::milliseconds SilenceTime{180};
@@ -44,37 +36,6 @@
 constexpr double HedgeMaxShare = 0.45;
 constexpr double HedgeMedians = 2;
 
-bool isHopByHop(http::field Name) {
-  switch (Name) {
-  case http::field::connection:
-  case http::field::keep_alive:
-  case http::field::proxy_authenticate:
-  case http::field::proxy_authorization:
-  case http::field::proxy_connection:
-  case http::field::te:
-  case http::field::trailer:
-  case http::field::transfer_encoding:
-  case http::field::upgrade:
-  case http::field::content_length:
-  case http::field::expect:
-    return true;
-  default:
-    return false;
-  }
-}
-
-/// Copies the end-to-end headers of a message.
-template <class Message> void copyFields(const Message &From, Message &To) {
-  const auto Connection = From[http::field::connection];
-  for (const auto &Field : From) {
-    if (isHopByHop(Field.name()) ||
-        (!Connection.empty() &&
-         http::token_list{Connection}.exists(Field.name_string())))
-      continue;
-    To.insert(Field.name_string(), Field.value());
-  }
-}
-
 /// "running,waiting,slots": requests waiting for each slot.
 std::optional<double> queueOf(std::string_view Load) {
   unsigned Values[3] = {};
@@ -95,9 +56,9 @@
 
 RequestRun::RequestRun(Dispatcher &Owner,
                        std::shared_ptr<const RouteTable> Routes,
-                       const Route &Of, const HttpRequest &Request,
+                       const Route &Matched, const HttpRequest &Request,
                        Duration WaitLeft, Dispatcher::AnswerFn Answer)
-    : m_Owner(Owner), m_Routes(std::move(Routes)), m_Route(Of),
+    : m_Owner(Owner), m_Routes(std::move(Routes)), m_Route(Matched),
       m_RequestId(Request[Owner.m_Protocol.m_RequestId]),
       m_Answer(std::move(Answer)), m_StartedAt(Owner.m_Timers.now()) {
   m_Prototype.method_string(Request.method_string());
@@ -106,25 +67,25 @@
   copyFields(Request, m_Prototype);
   m_Prototype.body() = Request.body();
 
-  RouteStats &Stats = Owner.stats(Of);
+  RouteStats &Stats = Owner.stats(Matched);
   Stats.m_LongestWait = std::max(Stats.m_LongestWait, WaitLeft);
   const Duration Elapsed = Stats.m_LongestWait - WaitLeft;
   const Duration CallerDelay = Owner.m_Options.m_CallerDelay;
-  m_Deadline =
-      m_StartedAt +
-      std::max(std::min(WaitLeft - CallerDelay, Of.m_Timeout) - DeadlineMargin,
-               Duration(1000));
+  m_Deadline = m_StartedAt +
+               std::max(std::min(WaitLeft - CallerDelay, Matched.m_Timeout) -
+                            DeadlineMargin,
+                        Duration(1000));
   m_CutAt = std::min(m_Deadline,
-                     m_StartedAt + std::max(Of.m_Objective - Elapsed -
+                     m_StartedAt + std::max(Matched.m_Objective - Elapsed -
                                                 2 * CallerDelay - CutMargin,
                                             Duration{0}));
-  if (Of.m_Kind == RouteKind::Search) {
-    for (const WeightedService &Shard : Of.m_Services)
+  if (Matched.m_Kind == RouteKind::Search) {
+    for (const WeightedService &Shard : Matched.m_Services)
       m_Parts.push_back({Shard.m_Service, {}, {}, {}, false, {}, {}});
   } else {
-    const std::size_t Chosen = Stats.m_Turn.next(Of.m_Services);
+    const std::size_t Chosen = Stats.m_Turn.next(Matched.m_Services);
     m_Parts.push_back(
-        {Of.m_Services[Chosen].m_Service, {}, {}, {}, false, {}, {}});
+        {Matched.m_Services[Chosen].m_Service, {}, {}, {}, false, {}, {}});
   }
 }
 
@@ -142,9 +103,9 @@
 void RequestRun::cancel() {
   const auto Self = shared_from_this();
   m_Self.reset();
-  for (Part &Each : m_Parts)
-    for (Try &Given : Each.m_Tries)
-      abandon(Given);
+  for (Part &Item : m_Parts)
+    for (Try &Attempt : Item.m_Tries)
+      abandon(Attempt);
   m_Timer.reset();
   if (m_Finished)
     return;
@@ -177,76 +138,78 @@
                   Scaled(HedgeMaxShare));
 }
 
-unsigned RequestRun::possibleRuns(const Part &Of) const {
+unsigned RequestRun::possibleRuns(const Part &CurrentPart) const {
   return static_cast<unsigned>(
-      std::count_if(Of.m_Tries.begin(), Of.m_Tries.end(), [](const Try &Given) {
-        return Given.m_Outcome != TryOutcome::Refused &&
-               Given.m_Outcome != TryOutcome::Unsent;
-      }));
+      std::count_if(CurrentPart.m_Tries.begin(), CurrentPart.m_Tries.end(),
+                    [](const Try &Attempt) {
+                      return Attempt.m_Outcome != TryOutcome::Refused &&
+                             Attempt.m_Outcome != TryOutcome::Unsent;
+                    }));
 }
 
-bool RequestRun::hasOpenTry(const Part &Of) const {
-  return std::any_of(Of.m_Tries.begin(), Of.m_Tries.end(), [](const Try &T) {
-    return T.m_Outcome == TryOutcome::Open;
-  });
+bool RequestRun::hasOpenTry(const Part &CurrentPart) const {
+  return std::any_of(
+      CurrentPart.m_Tries.begin(), CurrentPart.m_Tries.end(),
+      [](const Try &T) { return T.m_Outcome == TryOutcome::Open; });
 }
 
-bool RequestRun::mayRepeat(const Part &Of) const {
-  const unsigned Runs = possibleRuns(Of);
-  if (Of.m_Tries.size() >= MaxSends || Runs >= m_Route.m_MaxTries)
+bool RequestRun::mayRepeat(const Part &CurrentPart) const {
+  const unsigned Runs = possibleRuns(CurrentPart);
+  if (CurrentPart.m_Tries.size() >= MaxSends || Runs >= m_Route.m_MaxTries)
     return false;
   return Runs == 0 || m_Route.m_Repeatable;
 }
 
 void RequestRun::send(std::size_t PartIndex) {
-  Part &Of = m_Parts[PartIndex];
+  Part &CurrentPart = m_Parts[PartIndex];
   const TimePoint Now = timers().now();
-  Of.m_RetryAt.reset();
-  Of.m_HedgeAt.reset();
+  CurrentPart.m_RetryAt.reset();
+  CurrentPart.m_HedgeAt.reset();
   // A leaf that refused may be asked again when no other is left.
   std::vector<std::shared_ptr<LeafView>> Tried, MaybeRun;
-  for (const Try &Given : Of.m_Tries) {
-    Tried.push_back(Given.m_Leaf);
-    if (Given.m_Outcome != TryOutcome::Refused &&
-        Given.m_Outcome != TryOutcome::Unsent)
-      MaybeRun.push_back(Given.m_Leaf);
+  for (const Try &Attempt : CurrentPart.m_Tries) {
+    Tried.push_back(Attempt.m_Leaf);
+    if (Attempt.m_Outcome != TryOutcome::Refused &&
+        Attempt.m_Outcome != TryOutcome::Unsent)
+      MaybeRun.push_back(Attempt.m_Leaf);
   }
   const FailureDomain &Own = m_Owner.m_Options.m_Domain;
-  auto Leaf =
-      m_Owner.m_Leafs.choose(Of.m_Service, Now, Own, Tried, m_Owner.m_Engine);
-  const bool IsLaterTry = !Tried.empty() && !hasOpenTry(Of);
+  auto Leaf = m_Owner.m_Leafs.choose(CurrentPart.m_Service, Now, Own, Tried,
+                                     m_Owner.m_Engine);
+  const bool IsLaterTry = !Tried.empty() && !hasOpenTry(CurrentPart);
   if (!Leaf && IsLaterTry)
-    Leaf = m_Owner.m_Leafs.choose(Of.m_Service, Now, Own, MaybeRun,
+    Leaf = m_Owner.m_Leafs.choose(CurrentPart.m_Service, Now, Own, MaybeRun,
                                   m_Owner.m_Engine);
   // Only what has arrived at a leaf before counts as a repeat.
   const bool IsRepeat =
-      std::any_of(Of.m_Tries.begin(), Of.m_Tries.end(), [](const Try &Given) {
-        return Given.m_Outcome != TryOutcome::Unsent;
-      });
-  if (!Leaf || (IsRepeat && !m_Owner.budget(Of.m_Service).tryTake())) {
-    waitOrGiveUp(Of, Leaf != nullptr);
+      std::any_of(CurrentPart.m_Tries.begin(), CurrentPart.m_Tries.end(),
+                  [](const Try &Attempt) {
+                    return Attempt.m_Outcome != TryOutcome::Unsent;
+                  });
+  if (!Leaf || (IsRepeat && !m_Owner.budget(CurrentPart.m_Service).tryTake())) {
+    waitOrGiveUp(CurrentPart, Leaf != nullptr);
     return;
   }
-  if (hasOpenTry(Of))
+  if (hasOpenTry(CurrentPart))
     ++m_Hedges;
-  const std::size_t TryIndex = Of.m_Tries.size();
-  Of.m_Tries.push_back({Leaf, 0, Now, {}, TryOutcome::Open, false});
+  const std::size_t TryIndex = CurrentPart.m_Tries.size();
+  CurrentPart.m_Tries.push_back({Leaf, 0, Now, {}, TryOutcome::Open, false});
   Leaf->onSent();
   const Duration Left = std::max(m_Deadline - Now, Duration(1000));
-  Of.m_Tries[TryIndex].m_Send =
+  CurrentPart.m_Tries[TryIndex].m_Send =
       m_Owner.m_Transport.send(Leaf->listed(), leafRequest(*Leaf), Left,
                                [Self = shared_from_this(), PartIndex, TryIndex](
                                    Result<HttpResponse, HttpError> &&Outcome) {
                                  Self->onOutcome(PartIndex, TryIndex, Outcome);
                                });
-  Of.m_HedgeAt = Now + m_HedgeDelay;
+  CurrentPart.m_HedgeAt = Now + m_HedgeDelay;
 }
 
-void RequestRun::waitOrGiveUp(Part &Of, bool ForToken) {
+void RequestRun::waitOrGiveUp(Part &CurrentPart, bool ForToken) {
   const TimePoint Now = timers().now();
-  if (hasOpenTry(Of)) {
+  if (hasOpenTry(CurrentPart)) {
     if (ForToken)
-      Of.m_RetryAt = Now + RetryDelay;
+      CurrentPart.m_RetryAt = Now + RetryDelay;
     return;
   }
   // A search may use a token until its cut; a request to one service is
@@ -255,9 +218,9 @@
                                  ? m_CutAt
                                  : m_StartedAt + NothingToSendWait;
   if (Now >= GiveUpAt)
-    Of.m_Failed = true;
+    CurrentPart.m_Failed = true;
   else
-    Of.m_RetryAt = std::min(Now + RetryDelay, GiveUpAt);
+    CurrentPart.m_RetryAt = std::min(Now + RetryDelay, GiveUpAt);
 }
 
 HttpRequest RequestRun::leafRequest(const LeafView &Leaf) const {
@@ -311,14 +274,14 @@
   case TryOutcome::Refused:
     Leaf.onFailure(Now);
     if (isOk(Outcome) && valueOf(Outcome).result_int() == 421)
-      m_Owner.verify(Ended.m_Leaf, "another leaf answered", Duration{0});
+      m_Owner.verify(Ended.m_Leaf, "another leaf answered");
     break;
   case TryOutcome::Unsent:
     Leaf.onFailure(Now);
     if (!isOk(Outcome) &&
         errorOf(Outcome).m_Code == HttpErrorCode::ConnectFailed) {
       m_Owner.onUnreached(*Ended.m_Leaf);
-      m_Owner.verify(Ended.m_Leaf, "connect failed", Duration{0});
+      m_Owner.verify(Ended.m_Leaf, "connect failed");
     }
     break;
   default:
@@ -328,50 +291,50 @@
 
 void RequestRun::onOutcome(std::size_t PartIndex, std::size_t TryIndex,
                            Result<HttpResponse, HttpError> &Outcome) {
-  Part &Of = m_Parts[PartIndex];
-  Try &Ended = Of.m_Tries[TryIndex];
+  Part &CurrentPart = m_Parts[PartIndex];
+  Try &Ended = CurrentPart.m_Tries[TryIndex];
   Ended.m_Outcome = classify(Outcome);
   observe(Ended, Outcome);
-  if (m_Finished || !Of.isOpen())
+  if (m_Finished || !CurrentPart.isOpen())
     return;
   if (Ended.m_Outcome == TryOutcome::Answered)
-    Of.m_Answer = std::move(valueOf(Outcome));
+    CurrentPart.m_Answer = std::move(valueOf(Outcome));
   else if (Ended.m_Outcome == TryOutcome::LeafFailed &&
            m_Route.m_Kind == RouteKind::Single)
-    Of.m_Failure = std::move(valueOf(Outcome));
-  if (!Of.m_Answer)
+    CurrentPart.m_Failure = std::move(valueOf(Outcome));
+  if (!CurrentPart.m_Answer)
     continuePart(PartIndex);
   evaluate();
 }
 
 void RequestRun::continuePart(std::size_t PartIndex) {
-  Part &Of = m_Parts[PartIndex];
-  if (mayRepeat(Of))
+  Part &CurrentPart = m_Parts[PartIndex];
+  if (mayRepeat(CurrentPart))
     send(PartIndex);
-  else if (!hasOpenTry(Of))
-    Of.m_Failed = true;
+  else if (!hasOpenTry(CurrentPart))
+    CurrentPart.m_Failed = true;
 }
 
-void RequestRun::abandon(Try &Given) {
-  if (Given.m_Outcome != TryOutcome::Open)
+void RequestRun::abandon(Try &Attempt) {
+  if (Attempt.m_Outcome != TryOutcome::Open)
     return;
-  m_Owner.m_Transport.cancel(Given.m_Send);
-  Given.m_Outcome = TryOutcome::Abandoned;
-  Given.m_EndedAt = timers().now();
-  Given.m_Leaf->onEnded(Given.m_Overdue);
-  if (Given.m_EndedAt - Given.m_SentAt < SilenceTime)
+  m_Owner.m_Transport.cancel(Attempt.m_Send);
+  Attempt.m_Outcome = TryOutcome::Abandoned;
+  Attempt.m_EndedAt = timers().now();
+  Attempt.m_Leaf->onEnded(Attempt.m_Overdue);
+  if (Attempt.m_EndedAt - Attempt.m_SentAt < SilenceTime)
     return;
-  Given.m_Leaf->onSilence(Given.m_EndedAt);
-  m_Owner.onUnreached(*Given.m_Leaf);
-  m_Owner.verify(Given.m_Leaf, "no answer", Duration{0});
+  Attempt.m_Leaf->onSilence(Attempt.m_EndedAt);
+  m_Owner.onUnreached(*Attempt.m_Leaf);
+  m_Owner.verify(Attempt.m_Leaf, "no answer");
 }
 
-void RequestRun::markOverdue(Part &Of) {
-  for (Try &Given : Of.m_Tries)
-    if (Given.m_Outcome == TryOutcome::Open && !Given.m_Overdue &&
-        timers().now() - Given.m_SentAt >= m_HedgeDelay) {
-      Given.m_Overdue = true;
-      Given.m_Leaf->onOverdue();
+void RequestRun::markOverdue(Part &CurrentPart) {
+  for (Try &Attempt : CurrentPart.m_Tries)
+    if (Attempt.m_Outcome == TryOutcome::Open && !Attempt.m_Overdue &&
+        timers().now() - Attempt.m_SentAt >= m_HedgeDelay) {
+      Attempt.m_Overdue = true;
+      Attempt.m_Leaf->onOverdue();
     }
 }
 
@@ -379,25 +342,27 @@
   const auto Self = shared_from_this();
   const TimePoint Now = timers().now();
   if (m_Finished) {
-    for (Part &Each : m_Parts)
-      for (Try &Given : Each.m_Tries)
-        abandon(Given);
+    for (Part &Item : m_Parts)
+      for (Try &Attempt : Item.m_Tries)
+        abandon(Attempt);
     return;
   }
   for (std::size_t I = 0; I < m_Parts.size(); ++I) {
-    Part &Of = m_Parts[I];
-    if (!Of.isOpen())
+    Part &CurrentPart = m_Parts[I];
+    if (!CurrentPart.isOpen())
       continue;
-    const bool HedgeDue = Of.m_HedgeAt && *Of.m_HedgeAt <= Now;
-    const bool RetryDue = Of.m_RetryAt && *Of.m_RetryAt <= Now;
+    const bool HedgeDue =
+        CurrentPart.m_HedgeAt && *CurrentPart.m_HedgeAt <= Now;
+    const bool RetryDue =
+        CurrentPart.m_RetryAt && *CurrentPart.m_RetryAt <= Now;
     if (HedgeDue) {
-      markOverdue(Of);
-      Of.m_HedgeAt.reset();
+      markOverdue(CurrentPart);
+      CurrentPart.m_HedgeAt.reset();
     }
     if (!HedgeDue && !RetryDue)
       continue;
-    Of.m_RetryAt.reset();
-    if (mayRepeat(Of))
+    CurrentPart.m_RetryAt.reset();
+    if (mayRepeat(CurrentPart))
       send(I);
   }
   evaluate();
@@ -407,10 +372,10 @@
   TimePoint Due = m_Deadline;
   if (m_CutAt > timers().now())
     Due = std::min(Due, m_CutAt);
-  for (const Part &Of : m_Parts) {
-    if (!Of.isOpen())
+  for (const Part &CurrentPart : m_Parts) {
+    if (!CurrentPart.isOpen())
       continue;
-    for (const auto &At : {Of.m_HedgeAt, Of.m_RetryAt})
+    for (const auto &At : {CurrentPart.m_HedgeAt, CurrentPart.m_RetryAt})
       if (At)
         Due = std::min(Due, *At);
   }
@@ -425,12 +390,12 @@
   if (m_Finished)
     return;
   const auto Answered = static_cast<std::size_t>(
-      std::count_if(m_Parts.begin(), m_Parts.end(), [](const Part &Each) {
-        return Each.m_Answer.has_value();
+      std::count_if(m_Parts.begin(), m_Parts.end(), [](const Part &Item) {
+        return Item.m_Answer.has_value();
       }));
   const auto Failed = static_cast<std::size_t>(
       std::count_if(m_Parts.begin(), m_Parts.end(),
-                    [](const Part &Each) { return Each.m_Failed; }));
+                    [](const Part &Item) { return Item.m_Failed; }));
   const std::size_t Required = requiredParts(m_Route);
   const TimePoint Now = timers().now();
   if (Answered + Failed == m_Parts.size())
@@ -447,144 +412,4 @@
     schedule();
 }
 
-bool RequestRun::nothingRan() const {
-  return std::all_of(m_Parts.begin(), m_Parts.end(),
-                     [&](const Part &Each) { return possibleRuns(Each) == 0; });
-}
-
-void RequestRun::finish(FinishCause Cause) {
-  const auto Self = shared_from_this();
-  m_Self.reset();
-  m_Finished = true;
-  --m_Owner.m_InFlight;
-  HttpResponse Response = m_Route.m_Kind == RouteKind::Search
-                              ? mergedAnswer()
-                              : singleAnswer(Cause);
-  const bool Served = Response.result_int() / 100 == 2;
-  if (!Served && m_Route.m_Kind == RouteKind::Search)
-    Response = failure(Cause);
-  log(Cause, Response.result_int());
-  // What is given up must end before a refusal is sent, since that says that
-  // the request will not run any more.
-  if (!Served)
-    for (Part &Each : m_Parts)
-      for (Try &Given : Each.m_Tries)
-        abandon(Given);
-  m_Timer = timers().after(DrainTime, [Weak = weak_from_this()] {
-    if (const auto Self = Weak.lock())
-      Self->step();
-  });
-  if (auto Answer = std::exchange(m_Answer, nullptr))
-    Answer(std::move(Response));
-}
-
-HttpResponse RequestRun::mergedAnswer() const {
-  HttpResponse Out{http::status::ok, 11};
-  std::vector<std::string_view> Bodies;
-  std::string Signatures;
-  for (const Part &Each : m_Parts) {
-    if (!Each.m_Answer)
-      continue;
-    Bodies.emplace_back(Each.m_Answer->body());
-    const auto Signature = (*Each.m_Answer)[m_Owner.m_Protocol.m_Signature];
-    Signatures += (Signatures.empty() ? "" : ", ") + std::string(Signature);
-  }
-  if (Bodies.size() < requiredParts(m_Route))
-    return HttpResponse{http::status::bad_gateway, 11};
-  Out.set(m_Owner.m_Protocol.m_RequestId, m_RequestId);
-  Out.set(m_Owner.m_Protocol.m_PartSignatures, Signatures);
-  Out.set(m_Owner.m_Protocol.m_MissingParts,
-          std::to_string(m_Parts.size() - Bodies.size()));
-  Out.body() = mergeGreatest(Bodies, m_Route.m_MaxRecords);
-  return Out;
-}
-
-HttpResponse RequestRun::singleAnswer(FinishCause Cause) const {
-  const Part &Only = m_Parts.front();
-  const auto &Given = Only.m_Answer ? Only.m_Answer : Only.m_Failure;
-  if (!Given)
-    return failure(Cause);
-  HttpResponse Out{Given->result(), 11};
-  Out.result(Given->result_int());
-  copyFields(*Given, Out);
-  Out.body() = Given->body();
-  return Out;
-}
-
-HttpResponse RequestRun::failure(FinishCause Cause) const {
-  if (nothingRan())
-    return notRunResponse("no leaf could run the request", RefusalRetryAfter);
-  return jsonResponse(Cause == FinishCause::Deadline ? 504 : 502,
-                      Cause == FinishCause::Deadline
-                          ? R"({"error":"deadline_exceeded","not_run":false})"
-                          : R"({"error":"leaf_failed","not_run":false})");
-}
-
-std::string RequestRun::describeTries() const {
-  std::string Out;
-  for (const Part &Each : m_Parts) {
-    const bool Plain = Each.m_Answer && Each.m_Tries.size() == 1;
-    if (Plain)
-      continue;
-    Out += (Out.empty() ? "" : " ") + Each.m_Service.m_Value + "[";
-    for (const Try &Given : Each.m_Tries) {
-      const TimePoint End = Given.m_Outcome == TryOutcome::Open
-                                ? timers().now()
-                                : Given.m_EndedAt;
-      Out += Given.m_Leaf->listed().m_Id.m_Value + ":" +
-             std::string(nameOf(Given.m_Outcome)) + "@" +
-             std::to_string((Given.m_SentAt - m_StartedAt).count() / 1000) +
-             "+" + std::to_string((End - Given.m_SentAt).count() / 1000) + ",";
-    }
-    Out += "]";
-  }
-  return Out;
-}
-
-void RequestRun::log(FinishCause Cause, unsigned Status) {
-  const TimePoint Now = timers().now();
-  const Duration Elapsed = Now - m_StartedAt;
-  const bool Served = Status / 100 == 2;
-  std::size_t Answered = 0, Sends = 0;
-  for (const Part &Each : m_Parts) {
-    Answered += Each.m_Answer ? 1 : 0;
-    Sends += Each.m_Tries.size();
-  }
-  MetricsRegistry &Metrics = m_Owner.m_Metrics;
-  Metrics
-      .counter("ragwortdrift_requests_total",
-               {{"outcome", Served ? "served" : "failed"}})
-      .add();
-  Metrics.timing("ragwortdrift_request_seconds").record(Elapsed);
-  Metrics.counter("ragwortdrift_leaf_requests_total").add(Sends);
-  Metrics.counter("ragwortdrift_hedges_total").add(m_Hedges);
-  if (Answered < m_Parts.size())
-    Metrics.counter("ragwortdrift_missing_parts_total")
-        .add(m_Parts.size() - Answered);
-  // Lines of each name are bounded on their own, so plain requests cannot
-  // displace those that failed or were repeated.
-  const bool Plain = Served && Sends == m_Parts.size() &&
-                     Answered == m_Parts.size() &&
-                     Elapsed < m_Route.m_Objective;
-  const std::string Tries = Plain ? std::string() : describeTries();
-  m_Owner.m_Log.write(
-      Now,
-      !Served ? "request.failed"
-      : Plain ? "request.served"
-              : "request.repeated",
-      {{"request", m_RequestId},
-       {"route", m_Route.m_Name},
-       {"version", m_Routes->config().m_Version},
-       {"status", Status},
-       {"cause", Cause},
-       {"parts", m_Parts.size()},
-       {"answered", Answered},
-       {"sends", Sends},
-       {"hedge_after_ms", m_HedgeDelay},
-       {"budget", m_Owner.budget(m_Parts.front().m_Service).level()},
-       {"elapsed_ms", Elapsed},
-       {"wait_left_ms", m_Deadline - Now},
-       {"tries", Tries}});
-}
-
 } // namespace ragwortdrift
--- a/src/ragwortdrift/fleet/core_members.cpp
+++ b/src/ragwortdrift/fleet/core_members.cpp
@@ -35,9 +35,9 @@
 constexpr std::chrono::milliseconds ListFreshFor{2500};
 
 const Member *findVoter(const ReplicatedLogStatus &Status, const VmId &Vm) {
-  for (const Member &Each : Status.m_Voters)
-    if (Each.m_Key.m_Vm == Vm)
-      return &Each;
+  for (const Member &Item : Status.m_Voters)
+    if (Item.m_Key.m_Vm == Vm)
+      return &Item;
   return nullptr;
 }
 
@@ -48,8 +48,8 @@
   if (m_Log) {
     const ReplicatedLogStatus Status = m_Log->status();
     for (const auto *Members : {&Status.m_Voters, &Status.m_Learners})
-      for (const Member &Each : *Members)
-        Known.insert(Each.m_Address);
+      for (const Member &Item : *Members)
+        Known.insert(Item.m_Address);
   }
   Known.erase(m_Address);
   return {Known.begin(), Known.end()};
@@ -145,15 +145,15 @@
   const Duration Limit = IsSpare ? SpareVoterLimit : SilentVoterLimit;
   std::size_t Silent = 0;
   const Member *Longest = nullptr;
-  for (const Member &Each : Status.m_Voters) {
-    if (Each.m_Key.m_Vm.m_Value == m_Address)
+  for (const Member &Item : Status.m_Voters) {
+    if (Item.m_Key.m_Vm.m_Value == m_Address)
       continue;
     const auto Heard =
-        m_HeardFrom.try_emplace(Each.m_Key.m_Vm, m_Timers.now()).first;
+        m_HeardFrom.try_emplace(Item.m_Key.m_Vm, m_Timers.now()).first;
     if (m_Timers.now() - Heard->second < Limit)
       continue;
     ++Silent;
-    Longest = &Each;
+    Longest = &Item;
   }
   if (Silent != 1 || m_ChangingVoters || Status.m_Voters.size() <= MinVoters)
     return;
@@ -234,7 +234,7 @@
 void CoreNode::reportAll(bool WithLeafs) {
   // A report that cannot be sent may end its watcher.
   std::vector<std::uint64_t> Ids;
-  for (const auto &[Id, Each] : m_Watchers)
+  for (const auto &[Id, Item] : m_Watchers)
     Ids.push_back(Id);
   for (const std::uint64_t Id : Ids) {
     const auto Found = m_Watchers.find(Id);
--- a/src/ragwortdrift/fleet/entry_control.cpp
+++ b/src/ragwortdrift/fleet/entry_control.cpp
@@ -80,8 +80,8 @@
   const auto To = parseEndpoint(Address);
   if (!To)
     return;
-  Watch &Of = m_Watches[Address];
-  Of.m_Call = m_PeerClient.open(
+  Watch &Link = m_Watches[Address];
+  Link.m_Call = m_PeerClient.open(
       To->m_Ip, To->m_Port, "/watch", encode(WatchRequest{m_Revision}),
       WatchTime,
       [this, Address](const std::string &Message) {
--- a/src/ragwortdrift/fleet/entry_traffic.cpp
+++ b/src/ragwortdrift/fleet/entry_traffic.cpp
@@ -19,13 +19,13 @@
 constexpr std::chrono::milliseconds StopMargin{500};
 constexpr std::chrono::milliseconds StopCheckInterval{50};
 
-HttpLimits limitsFor(const CallerLimits &Given) {
+HttpLimits limitsFor(const CallerLimits &Caller) {
   using std::chrono::ceil;
   using std::chrono::seconds;
   HttpLimits Limits;
-  Limits.m_MaxHeaderBytes = Given.m_MaxHeaderBytes;
-  Limits.m_MaxBodyBytes = Given.m_MaxBodyBytes;
-  Limits.m_HeaderTimeout = ceil<seconds>(Given.m_IdleTimeout);
+  Limits.m_MaxHeaderBytes = Caller.m_MaxHeaderBytes;
+  Limits.m_MaxBodyBytes = Caller.m_MaxBodyBytes;
+  Limits.m_HeaderTimeout = ceil<seconds>(Caller.m_IdleTimeout);
   Limits.m_MaxConnections = 2000;
   return Limits;
 }
@@ -37,7 +37,6 @@
   Options.m_RepeatRatio = Settings.m_RepeatRatio;
   Options.m_RepeatSlack = Settings.m_RepeatSlack;
   Options.m_RepeatWindow = Settings.m_RepeatWindow;
-  Options.m_ListLag = Settings.m_LeafListLag;
   return Options;
 }
 
@@ -75,11 +74,11 @@
   const Listener Listeners[] = {{m_Callers, m_Settings.m_Callers},
                                 {m_Ready, m_Settings.m_Ready},
                                 {m_Metrics, m_Settings.m_Metrics}};
-  for (const Listener &Each : Listeners) {
-    if (!Each.m_Address)
+  for (const Listener &Item : Listeners) {
+    if (!Item.m_Address)
       continue;
     auto Listening =
-        Each.m_Server.listen(Each.m_Address->m_Ip, Each.m_Address->m_Port);
+        Item.m_Server.listen(Item.m_Address->m_Ip, Item.m_Address->m_Port);
     if (!isOk(Listening))
       return Listening;
   }
--- a/src/ragwortdrift/fleet/fleet_settings.cpp
+++ b/src/ragwortdrift/fleet/fleet_settings.cpp
@@ -94,16 +94,6 @@
   };
 }
 
-template <auto Member> Parse millis(double Max) {
-  return [Max](FleetSettings &Out, const std::string &Text) -> Fault {
-    const auto Value = detail::parseDecimal(Text);
-    if (!Value || *Value < 0 || *Value > Max)
-      return notA("milliseconds from 0 to " + std::to_string(Max));
-    Out.*Member = Duration(static_cast<Duration::rep>(*Value * 1000));
-    return std::nullopt;
-  };
-}
-
 template <auto Member> Parse seconds(double Max) {
   return [Max](FleetSettings &Out, const std::string &Text) -> Fault {
     const auto Value = detail::parseDecimal(Text);
@@ -149,7 +139,6 @@
   return std::nullopt;
 }
 
-constexpr double MaxMillis = 3'600'000;
 constexpr double MaxSeconds = 3600;
 
 const std::vector<Rule> &rules() {
@@ -171,7 +160,6 @@
       {"leaf_list", "address", true, endpoint<&S::m_LeafList>()},
       {"leaf_list", "calls_per_second", false,
        decimal<&S::m_LeafListRate>(0.1, 1e6)},
-      {"leaf_list", "lag_ms", false, millis<&S::m_LeafListLag>(MaxMillis)},
       {"repeats", "ratio", false, decimal<&S::m_RepeatRatio>(0, 1)},
       {"repeats", "slack", false, decimal<&S::m_RepeatSlack>(0, 1e6)},
       {"repeats", "window_s", false, seconds<&S::m_RepeatWindow>(MaxSeconds)},
@@ -190,18 +178,18 @@
   std::set<const Rule *> Seen;
   for (const detail::IniSection &Section : detail::readIni(Text, Errors))
     for (const detail::IniEntry &Entry : Section.m_Entries)
-      for (const Rule &Each : rules()) {
-        if (Each.m_Section != Section.m_Header || Each.m_Key != Entry.m_Key)
+      for (const Rule &Item : rules()) {
+        if (Item.m_Section != Section.m_Header || Item.m_Key != Entry.m_Key)
           continue;
-        Seen.insert(&Each);
-        if (const Fault Wrong = Each.m_Parse(Out, Entry.m_Value))
+        Seen.insert(&Item);
+        if (const Fault Wrong = Item.m_Parse(Out, Entry.m_Value))
           Errors.push_back({ConfigErrorCode::BadValue, Entry.m_Line,
                             Section.m_Header, Entry.m_Key, *Wrong});
       }
-  for (const Rule &Each : rules())
-    if (Each.m_Required && !Seen.contains(&Each))
+  for (const Rule &Item : rules())
+    if (Item.m_Required && !Seen.contains(&Item))
       Errors.push_back({ConfigErrorCode::MissingKey, 0,
-                        std::string(Each.m_Section), std::string(Each.m_Key),
+                        std::string(Item.m_Section), std::string(Item.m_Key),
                         "the key is required"});
   if (Out.m_OwnPort)
     for (Endpoint &Core : Out.m_Cores)
--- a/src/ragwortdrift/fleet/fleet_settings_test.cpp
+++ b/src/ragwortdrift/fleet/fleet_settings_test.cpp
@@ -68,17 +68,17 @@
 Test(fleet_settings, reads_a_valid_file) {
   const auto Read = parseFleetSettings(Valid);
   cr_assert(isOk(Read));
-  const FleetSettings &Of = valueOf(Read);
-  cr_assert_eq(Of.m_Vm.m_Value, "edge-1");
-  cr_assert_eq(Of.m_Domains.size(), 2U);
-  cr_assert(Of.m_Callers == Endpoint({"10.0.0.1", 80}));
-  cr_assert_not(Of.m_Operators.has_value());
-  cr_assert_not(Of.m_Folder.has_value());
-  cr_assert(Of.m_Form);
-  cr_assert(Of.m_Cores ==
+  const FleetSettings &Subject = valueOf(Read);
+  cr_assert_eq(Subject.m_Vm.m_Value, "edge-1");
+  cr_assert_eq(Subject.m_Domains.size(), 2U);
+  cr_assert(Subject.m_Callers == Endpoint({"10.0.0.1", 80}));
+  cr_assert_not(Subject.m_Operators.has_value());
+  cr_assert_not(Subject.m_Folder.has_value());
+  cr_assert(Subject.m_Form);
+  cr_assert(Subject.m_Cores ==
             std::vector<Endpoint>({{"10.0.0.2", 7000}, {"10.0.0.3", 7000}}));
-  cr_assert_eq(Of.m_RepeatSlack, 52);
-  cr_assert(Of.m_StopTime == 6s);
+  cr_assert_eq(Subject.m_RepeatSlack, 52);
+  cr_assert(Subject.m_StopTime == 6s);
 }
 
 // Guards against a faulty file that is taken, and a fault without its place.
--- a/src/ragwortdrift/fleet/fleet_test.cpp
+++ b/src/ragwortdrift/fleet/fleet_test.cpp
@@ -41,9 +41,10 @@
 }
 
 /// A configuration's text is its version.
-Result<RouteConfig, std::vector<ConfigError>> readVersion(std::string_view Of) {
+Result<RouteConfig, std::vector<ConfigError>>
+readVersion(std::string_view Subject) {
   RouteConfig Out;
-  Out.m_Version = std::stoull(std::string(Of));
+  Out.m_Version = std::stoull(std::string(Subject));
   return Out;
 }
 
@@ -113,8 +114,8 @@
                                          RoutingOrder Order) {
     std::optional<Result<OrderOutcome, CoreError>> Out;
     m_Nodes[Index]->submit(std::move(Order),
-                           [&](Result<OrderOutcome, CoreError> Given) {
-                             Out.emplace(std::move(Given));
+                           [&](Result<OrderOutcome, CoreError> Actual) {
+                             Out.emplace(std::move(Actual));
                            });
     cr_assert(runUntil([&] { return Out.has_value(); }, 3s));
     return *Out;
@@ -132,8 +133,8 @@
   }
   Result<RoutingState, CoreError> read(std::size_t Index) {
     std::optional<Result<RoutingState, CoreError>> Out;
-    m_Nodes[Index]->read([&](Result<RoutingState, CoreError> Given) {
-      Out.emplace(std::move(Given));
+    m_Nodes[Index]->read([&](Result<RoutingState, CoreError> Actual) {
+      Out.emplace(std::move(Actual));
     });
     cr_assert(runUntil([&] { return Out.has_value(); }, 4s));
     return std::move(*Out);
@@ -142,9 +143,9 @@
     return SetConfig{{Version, Text.empty() ? std::to_string(Version) : Text}};
   }
   double voters(std::size_t Index) {
-    for (const MetricSample &Each : m_Nodes[Index]->metrics())
-      if (Each.m_Name == "ragwortdrift_log_voters")
-        return std::get<Gauge>(Each.m_Value).value();
+    for (const MetricSample &Item : m_Nodes[Index]->metrics())
+      if (Item.m_Name == "ragwortdrift_log_voters")
+        return std::get<Gauge>(Item.m_Value).value();
     return 0;
   }
 
@@ -162,13 +163,13 @@
 
 /// The control state of an entry VM, with all that it told its traffic thread.
 struct Entry {
-  explicit Entry(Fleet &Of, const char *Name = "entry")
-      : m_Control(Of.m_Io, settings(Of, Name), lineFormat(), &readVersion,
-                  updates()) {
+  explicit Entry(Fleet &Subject, const char *Name = "entry")
+      : m_Control(Subject.m_Io, settings(Subject, Name), lineFormat(),
+                  &readVersion, updates()) {
     m_Control.start();
   }
-  static FleetSettings settings(const Fleet &Of, const char *Name) {
-    FleetSettings Out = Of.settings(0, false);
+  static FleetSettings settings(const Fleet &Subject, const char *Name) {
+    FleetSettings Out = Subject.settings(0, false);
     Out.m_Vm = VmId{Name};
     return Out;
   }
@@ -233,8 +234,8 @@
   // A read after one that failed starts anew.
   for (int Round = 0; Round < 2; ++Round) {
     std::optional<Result<LeafList, ListError>> Out;
-    Reader.read([&](Result<LeafList, ListError> Given) {
-      Out.emplace(std::move(Given));
+    Reader.read([&](Result<LeafList, ListError> Actual) {
+      Out.emplace(std::move(Actual));
     });
     cr_assert(F.runUntil([&] { return Out.has_value(); }), "%s", Row.m_Name);
     cr_assert_eq(isOk(*Out), !Row.m_Error, "%s", Row.m_Name);
--- a/src/ragwortdrift/node/daemon_main.cpp
+++ b/src/ragwortdrift/node/daemon_main.cpp
@@ -1,4 +1,5 @@
 #include "ragwortdrift/base/log.hpp"
+#include "ragwortdrift/base/read_file.hpp"
 #include "ragwortdrift/node/control_node.hpp"
 
 #include <boost/asio/signal_set.hpp>
@@ -6,7 +7,6 @@
 
 #include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace options = boost::program_options;
 using namespace ragwortdrift;
@@ -15,15 +15,6 @@
 
 enum ExitCode { Success = 0, BadSettings = 1, Usage = 2, StartFailed = 3 };
 
-std::optional<std::string> readFile(const std::string &Path) {
-  std::ifstream In(Path, std::ios::binary);
-  if (!In)
-    return std::nullopt;
-  std::ostringstream Text;
-  Text << In.rdbuf();
-  return Text.str();
-}
-
 std::optional<Settings> readSettings(const std::string &Path) {
   const auto Text = readFile(Path);
   if (!Text) {
--- a/src/ragwortdrift/routing/route_config.cpp
+++ b/src/ragwortdrift/routing/route_config.cpp
@@ -19,8 +19,8 @@
   }
 
   std::vector<ConfigError> check() {
-    for (const Route &Each : m_Config.m_Routes)
-      checkRoute(Each);
+    for (const Route &Item : m_Config.m_Routes)
+      checkRoute(Item);
     return std::move(m_Errors);
   }
 
@@ -76,11 +76,11 @@
 
 } // namespace
 
-std::size_t requiredParts(const Route &Of) {
-  if (Of.m_Kind == RouteKind::Single)
+std::size_t requiredParts(const Route &Target) {
+  if (Target.m_Kind == RouteKind::Single)
     return 1;
   const double Exact =
-      Of.m_MinCoverage * static_cast<double>(Of.m_Services.size());
+      Target.m_MinCoverage * static_cast<double>(Target.m_Services.size());
   // The share is compared with one computed by division, so a rounding error
   // must not ask for one part more.
   return std::max<std::size_t>(
--- a/src/ragwortdrift/routing/route_table.cpp
+++ b/src/ragwortdrift/routing/route_table.cpp
@@ -17,15 +17,15 @@
 } // namespace
 
 RouteTable::RouteTable(RouteConfig Config) : m_Config(std::move(Config)) {
-  for (const Route &Each : m_Config.m_Routes)
-    m_Hosts[normalizedHost(Each.m_Host)].push_back(&Each);
+  for (const Route &Item : m_Config.m_Routes)
+    m_Hosts[normalizedHost(Item.m_Host)].push_back(&Item);
   for (auto &[Host, Routes] : m_Hosts)
     std::stable_sort(Routes.begin(), Routes.end(),
                      [](const Route *A, const Route *B) {
                        return A->m_PathPrefix.size() > B->m_PathPrefix.size();
                      });
-  for (const RoutedService &Each : m_Config.m_Services)
-    m_Services.emplace(Each.m_Name, &Each);
+  for (const RoutedService &Item : m_Config.m_Services)
+    m_Services.emplace(Item.m_Name, &Item);
 }
 
 const Route *RouteTable::find(std::string_view Host,
@@ -34,9 +34,9 @@
   if (Routes == m_Hosts.end())
     return nullptr;
   const std::string_view Plain = Path.substr(0, Path.find('?'));
-  for (const Route *Each : Routes->second)
-    if (Plain.starts_with(Each->m_PathPrefix))
-      return Each;
+  for (const Route *Item : Routes->second)
+    if (Plain.starts_with(Item->m_PathPrefix))
+      return Item;
   return nullptr;
 }
 
--- a/src/ragwortdrift/routing/routing_state.cpp
+++ b/src/ragwortdrift/routing/routing_state.cpp
@@ -5,13 +5,13 @@
 namespace {
 
 OrderOutcome apply(RoutingState &State, const SetConfig &Order) {
-  const ConfigText &Given = Order.m_Config;
-  if (Given.m_Version == State.m_Config.m_Version)
-    return Given == State.m_Config ? OrderOutcome::Unchanged
-                                   : OrderOutcome::OtherContent;
-  if (Given.m_Version < State.m_Config.m_Version)
+  const ConfigText &Config = Order.m_Config;
+  if (Config.m_Version == State.m_Config.m_Version)
+    return Config == State.m_Config ? OrderOutcome::Unchanged
+                                    : OrderOutcome::OtherContent;
+  if (Config.m_Version < State.m_Config.m_Version)
     return OrderOutcome::Unchanged;
-  State.m_Config = Given;
+  State.m_Config = Config;
   ++State.m_Revision;
   return OrderOutcome::Accepted;
 }
@@ -37,7 +37,7 @@
 } // namespace
 
 OrderOutcome applyOrder(RoutingState &State, const RoutingOrder &Order) {
-  return std::visit([&](const auto &Given) { return apply(State, Given); },
+  return std::visit([&](const auto &Kind) { return apply(State, Kind); },
                     Order);
 }
 
--- a/src/ragwortdrift/routing/routing_test.cpp
+++ b/src/ragwortdrift/routing/routing_test.cpp
@@ -168,15 +168,15 @@
                                       : OrderOutcome::Unchanged);
         TakeOut ? (void)Out.insert(Domain) : (void)Out.erase(Domain);
       } else {
-        const ConfigText Given{1 + Random() % 40,
-                               Random() % 2 == 0 ? "left" : "right"};
-        const auto Outcome = applyOrder(State, SetConfig{Given});
-        if (Given.m_Version > Highest.m_Version) {
+        const ConfigText Actual{1 + Random() % 40,
+                                Random() % 2 == 0 ? "left" : "right"};
+        const auto Outcome = applyOrder(State, SetConfig{Actual});
+        if (Actual.m_Version > Highest.m_Version) {
           cr_assert_eq(Outcome, OrderOutcome::Accepted);
-          Highest = Given;
-        } else if (Given.m_Version == Highest.m_Version) {
-          cr_assert_eq(Outcome, Given == Highest ? OrderOutcome::Unchanged
-                                                 : OrderOutcome::OtherContent);
+          Highest = Actual;
+        } else if (Actual.m_Version == Highest.m_Version) {
+          cr_assert_eq(Outcome, Actual == Highest ? OrderOutcome::Unchanged
+                                                  : OrderOutcome::OtherContent);
         } else {
           cr_assert_eq(Outcome, OrderOutcome::Unchanged);
         }
--- a/src/ragwortdrift/tools/ctl/explain.cpp
+++ b/src/ragwortdrift/tools/ctl/explain.cpp
@@ -117,20 +117,20 @@
 void printMatches(const std::vector<Match> &Matches, bool Json,
                   std::ostream &Out) {
   if (!Json) {
-    for (const Match &Each : Matches) {
-      Out << Each.m_File << ":\n";
-      for (const std::string &Belief : Each.m_Beliefs)
+    for (const Match &Item : Matches) {
+      Out << Item.m_File << ":\n";
+      for (const std::string &Belief : Item.m_Beliefs)
         Out << "    " << Belief << '\n';
-      Out << "  " << Each.m_Line.m_Text << '\n';
+      Out << "  " << Item.m_Line.m_Text << '\n';
     }
     return;
   }
   json::array List;
-  for (const Match &Each : Matches)
+  for (const Match &Item : Matches)
     List.push_back(json::object{
-        {"file", Each.m_File},
-        {"line", Each.m_Line.m_Text},
-        {"before", json::array(Each.m_Beliefs.begin(), Each.m_Beliefs.end())}});
+        {"file", Item.m_File},
+        {"line", Item.m_Line.m_Text},
+        {"before", json::array(Item.m_Beliefs.begin(), Item.m_Beliefs.end())}});
   Out << json::serialize(List) << '\n';
 }
 
--- a/src/ragwortdrift/tools/ctl/offline.cpp
+++ b/src/ragwortdrift/tools/ctl/offline.cpp
@@ -90,21 +90,6 @@
 
 } // namespace
 
-std::optional<std::string> readFile(const std::string &Path) {
-  std::ifstream In(Path, std::ios::binary);
-  if (!In)
-    return std::nullopt;
-  // Unformatted reads report a failure (the path may be a folder) through the
-  // stream's state; stream buffer iterators would throw.
-  std::string Bytes;
-  char Block[65536];
-  while (In.read(Block, sizeof(Block)) || In.gcount() > 0)
-    Bytes.append(Block, static_cast<std::size_t>(In.gcount()));
-  if (In.bad())
-    return std::nullopt;
-  return Bytes;
-}
-
 void printFaults(const std::string &Path,
                  const std::vector<ConfigError> &Faults, bool Json,
                  std::ostream &Out, std::ostream &Err) {
--- a/src/ragwortdrift/tools/ctl/offline.hpp
+++ b/src/ragwortdrift/tools/ctl/offline.hpp
@@ -1,6 +1,7 @@
 #ifndef RAGWORTDRIFT_TOOLS_CTL_OFFLINE_HPP
 #define RAGWORTDRIFT_TOOLS_CTL_OFFLINE_HPP
 
+#include "ragwortdrift/base/read_file.hpp"
 #include "ragwortdrift/config/manifest.hpp"
 #include "ragwortdrift/tools/ctl/options.hpp"
 
@@ -10,9 +11,6 @@
 
 namespace ragwortdrift::ctl {
 
-/// The bytes of a file; nothing when it cannot be read.
-std::optional<std::string> readFile(const std::string &Path);
-
 /// Prints the faults of a file to Err, or as JSON to Out.
 void printFaults(const std::string &Path,
                  const std::vector<ConfigError> &Faults, bool Json,
