--- a/src/ragwortdrift/dispatch/dispatch_fixture.hpp
+++ b/src/ragwortdrift/dispatch/dispatch_fixture.hpp
@@ -78,7 +78,8 @@
   explicit DispatchFixture(std::uint64_t Seed = 1,
                            DispatchOptions Options = defaultOptions())
       : m_Transport(m_Timers),
-        m_Dispatcher(m_Timers, m_Transport, testProtocol(), Options, Seed) {
+        m_Dispatcher(m_Timers, m_Transport, testProtocol(), std::move(Options),
+                     Seed) {
     m_Dispatcher.setRoutes(std::make_shared<const RouteTable>(config()));
     m_Dispatcher.setLeafs(leafs());
   }
@@ -121,7 +122,10 @@
       for (int I = 1; I <= 3; ++I) {
         const std::string Number = std::to_string(I);
         ListedLeaf Leaf;
-        Leaf.m_Id = LeafId{Service + "-" + Number};
+        std::string Name = Service;
+        Name += "-";
+        Name += Number;
+        Leaf.m_Id = LeafId{Name};
         Leaf.m_Service = ServiceName{Service};
         Leaf.m_Address = {"10.0.0." + Number, 80};
         Leaf.m_Domain = FailureDomain{"d" + Number};
--- a/src/ragwortdrift/fleet/core_node.cpp
+++ b/src/ragwortdrift/fleet/core_node.cpp
@@ -227,7 +227,8 @@
     commit(Order, std::move(Fn));
     return;
   }
-  forward<OrderReply, OrderOutcome>("/order", encode(OrderRequest{Order}),
+  forward<OrderReply, OrderOutcome>("/order",
+                                    encode(OrderRequest{std::move(Order)}),
                                     ForwardTries, std::move(Fn));
 }
 
@@ -307,9 +308,8 @@
       },
       [this, Open, Path, Bytes, TriesLeft,
        Fn](const Result<Done, PeerError> &Ended) {
-        const auto Kept = Open;
-        Kept->m_Call = {};
-        if (!Kept->m_Reply) {
+        const PeerCall Finished = std::move(Open->m_Call);
+        if (!Open->m_Reply) {
           const bool MaybeDone = isOk(Ended) || errorOf(Ended).m_MaybeSent;
           if (MaybeDone)
             Fn(CoreError{CoreErrorCode::Unknown, {}});
@@ -317,11 +317,11 @@
             forward<Reply, Value>(Path, Bytes, TriesLeft - 1, Fn);
           return;
         }
-        if (auto *Held = std::get_if<Value>(&*Kept->m_Reply)) {
+        if (auto *Held = std::get_if<Value>(&*Open->m_Reply)) {
           Fn(std::move(*Held));
           return;
         }
-        const CoreError &Error = std::get<CoreError>(*Kept->m_Reply);
+        const CoreError &Error = std::get<CoreError>(*Open->m_Reply);
         if (Error.m_Code != CoreErrorCode::NotLeader) {
           Fn(Error);
           return;
--- a/src/ragwortdrift/fleet/fleet_test.cpp
+++ b/src/ragwortdrift/fleet/fleet_test.cpp
@@ -139,7 +139,8 @@
     cr_assert(runUntil([&] { return Out.has_value(); }, 4s));
     return std::move(*Out);
   }
-  static RoutingOrder config(std::uint64_t Version, std::string Text = {}) {
+  static RoutingOrder config(std::uint64_t Version,
+                             const std::string &Text = {}) {
     return SetConfig{{Version, Text.empty() ? std::to_string(Version) : Text}};
   }
   double voters(std::size_t Index) {
