Run nothing through a timer driver that has ended

A wait of the driver's timer that had ended before the driver was destroyed still ran its handler.

Change: the handler looks whether the driver still exists. The new test of the driver crashed before.

--- a/include/ragwortdrift/base/asio_timer_driver.hpp
+++ b/include/ragwortdrift/base/asio_timer_driver.hpp
@@ -6,6 +6,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <memory>
+
 namespace ragwortdrift {
 
 /// Advances a TimerService with the steady clock on the thread that runs the
@@ -28,6 +30,8 @@
   TimerService &m_Timers;
   boost::asio::steady_timer m_Timer;
   bool m_Started = false;
+  /// Tells a wait that had ended before the driver did that it is gone.
+  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
 };
 
 /// Wall-clock time, for values that leave the process or are written into the
--- a/src/ragwortdrift/base/asio_timer_driver.cpp
+++ b/src/ragwortdrift/base/asio_timer_driver.cpp
@@ -37,8 +37,9 @@
   if (!m_Started)
     return;
   m_Timer.expires_at(std::chrono::steady_clock::time_point(Due.m_SinceStart));
-  m_Timer.async_wait([this](const boost::system::error_code &Error) {
-    if (Error)
+  m_Timer.async_wait([this, Alive = std::weak_ptr(m_Alive)](
+                         const boost::system::error_code &Error) {
+    if (Error || Alive.expired())
       return;
     refresh();
     armNext();
--- a/src/ragwortdrift/base/base_test.cpp
+++ b/src/ragwortdrift/base/base_test.cpp
@@ -1,10 +1,16 @@
+#include "ragwortdrift/base/asio_timer_driver.hpp"
 #include "ragwortdrift/base/codec.hpp"
 #include "ragwortdrift/base/hash.hpp"
 #include "ragwortdrift/base/ids.hpp"
 #include "ragwortdrift/base/timer_service.hpp"
+
+#include <thread>
+
+// Last, because Criterion defines the macro Test.
 #include "ragwortdrift/testing/table.hpp"
 
 #include <algorithm>
+#include <thread>
 
 using namespace ragwortdrift;
 using namespace std::chrono_literals;
@@ -86,3 +92,22 @@
       cr_assert(After.front() == Before.front());
   }
 }
+
+// Guards against a timer that expired just before its driver was destroyed and
+// still runs callbacks through it.
+Test(timer_driver, runs_nothing_after_its_end) {
+  boost::asio::io_context Io;
+  TimerService Timers;
+  auto Driver = std::make_unique<AsioTimerDriver>(Io, Timers);
+  Driver->start();
+  bool Fired = false;
+  boost::asio::steady_timer First(Io);
+  First.expires_after(std::chrono::milliseconds(1));
+  First.async_wait([&](const boost::system::error_code &) { Driver.reset(); });
+  const auto Timer =
+      Timers.after(std::chrono::milliseconds(3), [&] { Fired = true; });
+  // Both are due when the context first looks.
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  Io.run();
+  cr_assert_not(Fired);
+}
