Do not take a leaf for warm whose cold time cannot be read; reasons for constants

Found by reading the change again. A health answer with an unreadable or negative cold time counted as warm; a late answer to a probe of a leaf that had left the list ended the probes of the one that came back under its id. The test of barred leafs now also fails when nothing is asked at all.

--- a/include/ragwortdrift/fleet/core_node.hpp
+++ b/include/ragwortdrift/fleet/core_node.hpp
@@ -68,6 +68,8 @@
                std::function<void(Result<Value, CoreError>)> Fn);
   std::string forwardTarget();
   void handlePeers();
+  /// Ends a request that cannot be decoded.
+  static void refuseMessage(const PeerRequest &In, const Stream &Out);
 
   // Voters.
   void checkMembership();
--- a/src/ragwortdrift/dispatch/dispatcher.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher.cpp
@@ -18,13 +18,14 @@
 /// one window: any window then sees at most their sum. The rest is for VMs that
 /// the others do not know of yet.
 constexpr double SlackShare = 0.4;
-/// A service is seldom asked at the very ratio; a little is kept for repeats
-/// that cross the edges of the window.
+/// Share of the common ratio that is earned; the rest covers repeats that reach
+/// a leaf in a later window than the requests that earned them.
 constexpr double RatioShare = 0.95;
 /// Time a caller should wait after a refusal: spells of overload or of a shard
 /// without leafs are short, and a VM that starts needs longer.
 constexpr std::chrono::milliseconds BusyRetryAfter{100};
 constexpr std::chrono::milliseconds StartRetryAfter{500};
+
 } // namespace
 
 HttpResponse notRunResponse(std::string_view Reason, Duration RetryAfter) {
--- a/src/ragwortdrift/dispatch/dispatcher_test.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher_test.cpp
@@ -102,6 +102,24 @@
     {"many leafs lost", false, false, false},
 };
 
+struct HealthCase {
+  const char *m_Name;
+  unsigned m_Status;
+  const char *m_Leaf;
+  /// Nothing when the answer has no cold time.
+  const char *m_ColdFor;
+  bool m_Asked;
+};
+const HealthCase HealthCases[] = {
+    {"healthy", 200, "one-1", nullptr, true},
+    {"healthy and warm", 200, "one-1", "0", true},
+    {"cold", 200, "one-1", "3000", false},
+    {"unreadable cold time", 200, "one-1", "soon", false},
+    {"negative cold time", 200, "one-1", "-1", false},
+    {"another leaf", 200, "one-9", nullptr, false},
+    {"failing", 503, "one-1", nullptr, false},
+};
+
 struct ShareCase {
   const char *m_Name;
   std::uint32_t m_MaxConnections;
@@ -374,11 +392,11 @@
   Row.m_Change(F);
   for (int I = 0; I < 30; ++I) {
     F.ask("/b/", 2000);
-    for (const SendId Id : F.m_Transport.openTo("one")) {
-      cr_assert_neq(F.m_Transport.m_Open.at(Id).m_Leaf.m_Id.m_Value,
-                    std::string("one-1"), "%s", Row.m_Name);
-      F.m_Transport.end(Id, F.answerOf(Id));
-    }
+    const auto Open = F.m_Transport.openTo("one");
+    cr_assert_eq(Open.size(), 1U, "%s", Row.m_Name);
+    cr_assert_neq(F.m_Transport.m_Open.at(Open.front()).m_Leaf.m_Id.m_Value,
+                  std::string("one-1"), "%s", Row.m_Name);
+    F.m_Transport.end(Open.front(), F.answerOf(Open.front()));
   }
 }
 
@@ -490,6 +508,50 @@
                   Id.m_Value.c_str());
 }
 
+// Guards against a leaf that is taken for warm because its cold time cannot be
+// read, and against an answer to a probe of another leaf or of an ailing one.
+TABLE_TEST(dispatch, trusts_only_a_whole_health_answer, HealthCases) {
+  DispatchFixture F;
+  F.m_Dispatcher.onIdleEnd(LeafId{"one-1"});
+  F.pass(1ms);
+  cr_assert_eq(F.m_Transport.probes().size(), 1U);
+  HttpResponse Health{static_cast<boost::beast::http::status>(Row.m_Status),
+                      11};
+  Health.set("T-Leaf", Row.m_Leaf);
+  if (Row.m_ColdFor)
+    Health.set("T-Cold", Row.m_ColdFor);
+  F.m_Transport.end(F.m_Transport.probes().front(), Health);
+  bool Asked = false;
+  for (int I = 0; I < 30; ++I) {
+    F.ask("/b/", 2000);
+    const auto Open = F.m_Transport.openTo("one");
+    cr_assert_eq(Open.size(), 1U);
+    Asked |=
+        F.m_Transport.m_Open.at(Open.front()).m_Leaf.m_Id.m_Value == "one-1";
+    F.m_Transport.end(Open.front(), F.answerOf(Open.front()));
+  }
+  cr_assert_eq(Asked, Row.m_Asked, "%s", Row.m_Name);
+}
+
+// Guards against a leaf that is never asked again because a late answer to a
+// probe of its former life ended the probes of the present one.
+Test(dispatch, keeps_the_probes_of_a_leaf_that_came_back) {
+  DispatchFixture F;
+  F.m_Dispatcher.onIdleEnd(LeafId{"one-1"});
+  F.pass(1ms);
+  const SendId Former = F.m_Transport.probes().front();
+  LeafList Without = F.leafs();
+  std::erase_if(Without, [](const ListedLeaf &Leaf) {
+    return Leaf.m_Id.m_Value == "one-1";
+  });
+  F.m_Dispatcher.setLeafs(Without);
+  F.m_Dispatcher.setLeafs(F.leafs());
+  F.m_Dispatcher.onIdleEnd(LeafId{"one-1"});
+  F.m_Transport.end(Former, F.unsent());
+  F.pass(1ms);
+  cr_assert_eq(F.m_Transport.probes().size(), 1U);
+}
+
 // Guards against leafs that go on working for a caller that has left.
 Test(dispatch, ends_all_tries_of_a_caller_that_left) {
   DispatchFixture F;
--- a/src/ragwortdrift/dispatch/leaf_pool.cpp
+++ b/src/ragwortdrift/dispatch/leaf_pool.cpp
@@ -167,14 +167,12 @@
                   Fresh](const Result<Done, HttpError> &Connected) {
                    if (Alive.expired())
                      return;
-                   if (isOk(Connected) && Item->m_Fn) {
+                   // A cancelled request has closed its connection, which is
+                   // reported as a failure.
+                   if (isOk(Connected)) {
                      sendOn(Upstream, Item, Fresh);
                      return;
                    }
-                   if (isOk(Connected) && !Item->m_Fn) {
-                     keep(Upstream, Fresh, DefaultKeep, false);
-                     return;
-                   }
                    --Upstream->m_Open;
                    finish(Item, errorOf(Connected));
                    startNext(Upstream);
@@ -233,7 +231,6 @@
     if (m_OnIdleEnd && WasUsed)
       m_OnIdleEnd(Leaf->m_Id);
   });
-  startNext(Upstream);
 }
 
 void LeafPool::finish(const std::shared_ptr<Request> &Item,
--- a/src/ragwortdrift/dispatch/leaf_verification.cpp
+++ b/src/ragwortdrift/dispatch/leaf_verification.cpp
@@ -16,9 +16,21 @@
 constexpr std::size_t IsolationAttempts = 10;
 /// A probe waits for a slot like a request, so it outlasts a pause.
 constexpr std::chrono::milliseconds ProbeTimeout{400};
+/// A restart takes a leaf some seconds. The first retries find one that was
+/// only busy; the last interval bounds how late a leaf that is back is noticed.
 constexpr std::chrono::milliseconds FirstProbeRetry{250};
 constexpr std::chrono::milliseconds LastProbeRetry{600};
 
+/// The cold time of a health answer, 0 when it has none; nothing when it cannot
+/// be read, since the leaf may then be cold.
+std::optional<Duration> coldTime(const HttpResponse &Response,
+                                 const std::string &Header) {
+  const auto Field = Response.find(Header);
+  if (Field == Response.end())
+    return Duration{0};
+  return parseMillis({Field->value().data(), Field->value().size()});
+}
+
 } // namespace
 
 void Dispatcher::verify(const std::shared_ptr<LeafView> &View,
@@ -60,21 +72,18 @@
                          Duration RetryDelay,
                          const Result<HttpResponse, HttpError> &Outcome) {
   const LeafId &Id = View->listed().m_Id;
-  if (m_Leafs.find(Id) != View) {
-    m_Probes.erase(Id);
+  // The leaf has left the list; one that came back has probes of its own.
+  if (m_Leafs.find(Id) != View)
     return;
-  }
   if (isOk(Outcome))
     onReached(*View);
   else
     onUnreached(*View);
-  const bool Healthy = isOk(Outcome) && valueOf(Outcome).result_int() == 200 &&
+  const std::optional<Duration> ColdFor =
+      isOk(Outcome) ? coldTime(valueOf(Outcome), m_Protocol.m_ColdFor)
+                    : std::nullopt;
+  const bool Healthy = ColdFor && valueOf(Outcome).result_int() == 200 &&
                        valueOf(Outcome)[m_Protocol.m_LeafId] == Id.m_Value;
-  std::optional<Duration> ColdFor;
-  if (Healthy) {
-    const auto Field = valueOf(Outcome)[m_Protocol.m_ColdFor];
-    ColdFor = parseMillis({Field.data(), Field.size()});
-  }
   m_Log.write(m_Timers.now(), "leaf.probed",
               {{"leaf", Id},
                {"healthy", Healthy},
@@ -87,8 +96,7 @@
     });
     return;
   }
-  if (ColdFor)
-    View->setColdFor(m_Timers.now(), *ColdFor);
+  View->setColdFor(m_Timers.now(), *ColdFor);
   View->setVerified(true);
   m_Probes.erase(Id);
 }
--- a/src/ragwortdrift/dispatch/leaf_view.cpp
+++ b/src/ragwortdrift/dispatch/leaf_view.cpp
@@ -15,15 +15,20 @@
 /// Time in which an estimate loses most of its distance to neutral, so that a
 /// leaf that was slow is asked again. Slow phases last several seconds.
 constexpr double FadeSeconds = 3;
-/// Bounds the effect of one answer on the mean.
+/// Bounds the effect of one answer on the mean, in medians of its route.
 constexpr double MaxSlowness = 20;
-/// What a leaf costs, in medians of its route, for each of these.
+/// A silent leaf counts as this slow, in medians: a pause lasts about as long.
 constexpr double SilenceSlowness = 10;
+/// Cost in medians of a leaf that fails every request; one that fails a tenth
+/// is as good as one with a request more in work.
 constexpr double FailureCost = 10;
-/// A pausing leaf answers nothing for many medians.
+/// Cost in medians of a leaf with an overdue request, above that of any slow
+/// leaf: it may answer nothing until its pause ends.
 constexpr double OverdueCost = 20;
-/// Another failure domain costs bytes between domains and a longer way.
+/// Cost in medians of another failure domain, for the bytes between domains and
+/// the longer way; below that of a request more in work.
 constexpr double OtherDomainCost = 0.4;
+/// Cost in medians of a request waiting for each slot: it runs first.
 constexpr double QueueCost = 1;
 /// A connection to a leaf that this VM does not use may be one too many for the
 /// leaf; still better than one that refuses a third of its requests.
--- a/src/ragwortdrift/dispatch/request_run.cpp
+++ b/src/ragwortdrift/dispatch/request_run.cpp
@@ -14,26 +14,31 @@
 /// Kept between the cut of a search and its objective, beside the way back to
 /// the caller: the merge, the write and the waits of a busy VM.
 constexpr std::chrono::milliseconds CutMargin{6};
-/// The same for the deadline.
+/// The same for the deadline, where nothing is merged any more.
 constexpr std::chrono::milliseconds DeadlineMargin{4};
 /// A part without a leaf to ask, or a repeat without a token, is tried again
-/// after this.
+/// after this: about the time in which a probe ends or a token is earned.
 constexpr std::chrono::milliseconds RetryDelay{10};
 /// A part for which nothing can be sent is given up this long after the start
 /// of its request. A leaf that is being verified is back within a probe, some
 /// 10 ms.
 constexpr std::chrono::milliseconds NothingToSendWait{60};
-/// Sends of one part, refused ones included.
+/// Sends of one part, refused ones included: twice over the three replicas of a
+/// shard.
 constexpr std::size_t MaxSends = 6;
 /// A try that is given up after this is a sign of a silent leaf; shorter ones
-/// may be a pause.
+/// may be a pause, which leafs make for 120 ms.
 constexpr std::chrono::milliseconds SilenceTime{180};
-/// Hedging: quantile of the route's leaf latency, samples that it needs, and
-/// bounds as a share of the objective.
+/// Quantile of the route's leaf latency after which a hedge is sent: one in
+/// twenty requests is within the budget of one in five.
 constexpr double HedgeQuantile = 0.95;
+/// Samples below which that quantile is only the maximum.
 constexpr double HedgeMinSamples = 20;
+/// Share of the objective after which a hedge is sent without samples.
 constexpr double HedgeDefaultShare = 0.3;
+/// Largest share, so that the second leaf has as long as the first one had.
 constexpr double HedgeMaxShare = 0.45;
+/// Least delay in medians; an answer at less than that comes soon anyway.
 constexpr double HedgeMedians = 2;
 
 /// "running,waiting,slots": requests waiting for each slot.
--- a/src/ragwortdrift/fleet/core_members.cpp
+++ b/src/ragwortdrift/fleet/core_members.cpp
@@ -21,6 +21,7 @@
 constexpr std::chrono::seconds SpareVoterLimit{3};
 /// Without news of a leader for this long a core VM asks to join.
 constexpr std::chrono::seconds NoLeaderLimit{2};
+/// A join is repeated each half second; an answer to an older one is of no use.
 constexpr std::chrono::milliseconds JoinTimeout{800};
 /// An entry VM counts for this long after it was last seen, so that shares of
 /// common budgets do not grow while VMs restart.
@@ -30,8 +31,10 @@
 constexpr std::chrono::milliseconds ListInterval{1000};
 /// A new leader starts to read the list within this.
 constexpr std::chrono::milliseconds LeaderCheckInterval{50};
-/// Share of the list's rate that its one regular reader may use.
+/// Share of the list's rate that its one regular reader may use; the rest is
+/// for entry VMs that are cut off from it.
 constexpr double ListRateShare = 0.4;
+/// A list counts as fresh for two reads that failed.
 constexpr std::chrono::milliseconds ListFreshFor{2500};
 
 const Member *findVoter(const ReplicatedLogStatus &Status, const VmId &Vm) {
@@ -183,7 +186,7 @@
 void CoreNode::onWatch(const PeerRequest &In, const Stream &Out) {
   const auto Request = decode<WatchRequest>(In.m_Body);
   if (!isOk(Request)) {
-    Out->finish();
+    refuseMessage(In, Out);
     return;
   }
   std::erase_if(m_Watchers, [&](const auto &Entry) {
--- a/src/ragwortdrift/fleet/core_node.cpp
+++ b/src/ragwortdrift/fleet/core_node.cpp
@@ -16,9 +16,17 @@
 /// An operator waits a second for an answer; a forwarded call has to end
 /// before.
 constexpr std::chrono::milliseconds ForwardTimeout{700};
+/// Each core VM of today's sites once.
 constexpr unsigned ForwardTries = 4;
+/// A disk that was full or failing is looked at again this often; such spells
+/// last seconds.
 constexpr std::chrono::milliseconds StoreCheckInterval{500};
+/// Joining and leaving voters are noticed within this; below the time in which
+/// operators expect an acknowledgement.
 constexpr std::chrono::milliseconds MembershipInterval{500};
+/// Watchers hear of their core VM at least this often. Without news of the list
+/// of leafs for five of these an entry VM reads it itself.
+constexpr std::chrono::milliseconds ReportInterval{500};
 /// Orders may hold whole configurations; a snapshot this often bounds the log
 /// on small disks.
 constexpr LogIndex SnapshotEntries = 100;
@@ -26,6 +34,8 @@
 /// Voters that restart together elect within this; voters that hear a leader
 /// refuse an early candidate.
 constexpr std::chrono::milliseconds FirstElectionTimeout{150};
+/// Outcomes kept for proposals whose completion is about to run; operators have
+/// at most a few orders in progress.
 constexpr std::size_t MaxKeptOutcomes = 1024;
 
 } // namespace
@@ -55,8 +65,8 @@
       m_Timers.every(StoreCheckInterval, [this] { checkStore(); }));
   m_Periodic.push_back(
       m_Timers.every(MembershipInterval, [this] { checkMembership(); }));
-  m_Periodic.push_back(m_Timers.every(std::chrono::milliseconds(500),
-                                      [this] { reportAll(false); }));
+  m_Periodic.push_back(
+      m_Timers.every(ReportInterval, [this] { reportAll(false); }));
   m_ListTimer = m_Timers.after(Duration{0}, [this] { readLeafs(); });
   return Done{};
 }
@@ -170,8 +180,11 @@
 void CoreNode::sendOneWay(const std::string &Address, const char *Path,
                           std::string Bytes) {
   const auto To = parseEndpoint(Address);
-  if (!To)
+  if (!To) {
+    logEvent(LogSeverity::Warning, "peer.bad_address",
+             {{"address", Address}, {"path", Path}});
     return;
+  }
   auto Call = std::make_shared<PeerCall>();
   *Call = m_PeerClient.open(
       To->m_Ip, To->m_Port, Path, std::move(Bytes), OneWayTimeout,
@@ -215,13 +228,19 @@
                         if (isOk(Request))
                           onJoin(In.m_From, valueOf(Request), Out);
                         else
-                          Out->finish();
+                          refuseMessage(In, Out);
                       });
   m_PeerServer.handle(
       "/watch",
       [this](const PeerRequest &In, const Stream &Out) { onWatch(In, Out); });
 }
 
+void CoreNode::refuseMessage(const PeerRequest &In, const Stream &Out) {
+  logEvent(LogSeverity::Warning, "peer.bad_message",
+           {{"from", In.m_From}, {"path", In.m_Path}});
+  Out->finish();
+}
+
 void CoreNode::submit(RoutingOrder Order, OrderCallback Fn) {
   if (isLeader()) {
     commit(Order, std::move(Fn));
--- a/src/ragwortdrift/fleet/entry_control.cpp
+++ b/src/ragwortdrift/fleet/entry_control.cpp
@@ -11,9 +11,11 @@
 /// Core VMs that are watched at once. Each may be the only one that is not cut
 /// off, and there are few.
 constexpr std::size_t MaxWatches = 5;
+/// A core VM that restarts is back within a second.
 constexpr std::chrono::milliseconds WatchRetry{250};
 /// A watch is opened anew after this, since a call needs a deadline.
 constexpr std::chrono::hours WatchTime{1};
+/// How late the silence of the list is noticed beyond ListSilence.
 constexpr std::chrono::milliseconds ListCheckInterval{500};
 /// An entry VM that has just started reads the list itself if no core VM has
 /// sent it within this.
@@ -21,8 +23,10 @@
 /// Without news of the list for this long an entry VM reads it itself. Core
 /// VMs report every 500 ms, and elect a new leader within a second.
 constexpr std::chrono::milliseconds ListSilence{2500};
+/// As often as a leader reads the list.
 constexpr std::chrono::milliseconds OwnListInterval{1000};
-/// Share of the list's rate for all entry VMs that read it themselves.
+/// Share of the list's rate for all entry VMs that read it themselves; the
+/// regular reader has the rest.
 constexpr double OwnListRateShare = 0.5;
 
 } // namespace
@@ -78,8 +82,10 @@
 
 void EntryControl::openWatch(const std::string &Address) {
   const auto To = parseEndpoint(Address);
-  if (!To)
+  if (!To) {
+    logEvent(LogSeverity::Warning, "core.bad_address", {{"core", Address}});
     return;
+  }
   Watch &Link = m_Watches[Address];
   Link.m_Call = m_PeerClient.open(
       To->m_Ip, To->m_Port, "/watch", encode(WatchRequest{m_Revision}),
--- a/src/ragwortdrift/fleet/entry_traffic.cpp
+++ b/src/ragwortdrift/fleet/entry_traffic.cpp
@@ -9,14 +9,21 @@
 
 namespace {
 
+/// Below the margin that idle connections are closed ahead of their leafs.
 constexpr std::chrono::milliseconds IdleCheckInterval{300};
+/// Below the time after which a VM counts as isolated.
 constexpr std::chrono::milliseconds IsolationCheckInterval{200};
-constexpr std::chrono::seconds SecondInterval{1};
+/// Period of the metrics' quantiles and of the count of lines left out.
+constexpr std::chrono::seconds MetricsPeriod{1};
+/// Callers' connections of one VM; half of the descriptors that it may have.
+constexpr std::size_t MaxCallerConnections = 2000;
 /// The balancer asks for readiness once a second and needs two misses, so new
 /// connections come for two seconds after a stop began.
 constexpr std::chrono::milliseconds AcceptTime{2600};
-/// Kept of the stop's time for the end of the process.
+/// Kept of the stop's time for the end of the process, on a machine that may be
+/// busy.
 constexpr std::chrono::milliseconds StopMargin{500};
+/// How late the end of the last request is noticed.
 constexpr std::chrono::milliseconds StopCheckInterval{50};
 
 HttpLimits limitsFor(const CallerLimits &Caller) {
@@ -26,7 +33,7 @@
   Limits.m_MaxHeaderBytes = Caller.m_MaxHeaderBytes;
   Limits.m_MaxBodyBytes = Caller.m_MaxBodyBytes;
   Limits.m_HeaderTimeout = ceil<seconds>(Caller.m_IdleTimeout);
-  Limits.m_MaxConnections = 2000;
+  Limits.m_MaxConnections = MaxCallerConnections;
   return Limits;
 }
 
@@ -86,7 +93,7 @@
       m_Timers.every(IdleCheckInterval, [this] { m_Pool.closeIdle(); }));
   m_Periodic.push_back(m_Timers.every(
       IsolationCheckInterval, [this] { m_Dispatcher.checkIsolation(); }));
-  m_Periodic.push_back(m_Timers.every(SecondInterval, [this] {
+  m_Periodic.push_back(m_Timers.every(MetricsPeriod, [this] {
     m_Dispatcher.flushLog();
     m_Dispatcher.metrics().endPeriod();
   }));
--- a/src/ragwortdrift/fleet/leaf_list_reader.cpp
+++ b/src/ragwortdrift/fleet/leaf_list_reader.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-/// A page is small and its server close; a later one is asked for again soon.
+/// A page is small and its server close; the list is read again each second.
 constexpr std::chrono::milliseconds PageTimeout{700};
+/// A round trip takes some milliseconds; a connection that hangs is tried anew.
 constexpr std::chrono::milliseconds ConnectTimeout{400};
 /// Bounds a list whose tokens never end.
 constexpr std::size_t MaxPages = 10'000;
