--- a/include/ragwortdrift/consensus/replicated_log_impl.hpp
+++ b/include/ragwortdrift/consensus/replicated_log_impl.hpp
@@ -10,7 +10,7 @@
 namespace detail {
 
 /// A store id from std::random_device, unless one was given.
-StoreId freshStoreId(StoreId Given);
+StoreId freshStoreId(StoreId Wanted);
 CoreOptions coreOptions(const ReplicatedLogOptions &Options);
 
 } // namespace detail
--- a/src/ragwortdrift/consensus/replicated_log.cpp
+++ b/src/ragwortdrift/consensus/replicated_log.cpp
@@ -4,11 +4,11 @@
 
 namespace detail {
 
-StoreId freshStoreId(StoreId Given) {
+StoreId freshStoreId(StoreId Wanted) {
   std::random_device Device;
-  while (Given.m_Value == 0)
-    Given.m_Value = (std::uint64_t{Device()} << 32) | Device();
-  return Given;
+  while (Wanted.m_Value == 0)
+    Wanted.m_Value = (std::uint64_t{Device()} << 32) | Device();
+  return Wanted;
 }
 
 CoreOptions coreOptions(const ReplicatedLogOptions &Options) {
--- a/src/ragwortdrift/fleet/fleet_test.cpp
+++ b/src/ragwortdrift/fleet/fleet_test.cpp
@@ -1,6 +1,7 @@
 #include "ragwortdrift/fleet/core_node.hpp"
 #include "ragwortdrift/fleet/entry_control.hpp"
 #include "ragwortdrift/net/http_server.hpp"
+#include "ragwortdrift/testing/loopback.hpp"
 #include "ragwortdrift/testing/table.hpp"
 
 #include <filesystem>
@@ -11,12 +12,6 @@
 
 namespace {
 
-/// A free loopback port.
-std::uint16_t freePort(asio::io_context &Io) {
-  asio::ip::tcp::acceptor Probe(Io, {asio::ip::address_v4::loopback(), 0});
-  return Probe.local_endpoint().port();
-}
-
 /// A page is one line: the next token, a space, and ids separated by commas.
 LeafListFormat lineFormat() {
   LeafListFormat Out;
@@ -69,8 +64,8 @@
                 std::to_string(m_ListServer.port()));
     std::filesystem::create_directories(m_Folder);
     for (std::size_t I = 0; I < Founders + Later; ++I)
-      m_Ports.push_back(freePort(m_Io));
-    m_Nodes.resize(m_Ports.size());
+      m_Peers.push_back(testing::freeEndpoint(m_Io));
+    m_Nodes.resize(m_Peers.size());
   }
   ~Fleet() {
     m_Nodes.clear();
@@ -82,8 +77,8 @@
     FleetSettings Out;
     Out.m_Vm = VmId{"vm-" + std::to_string(Index)};
     for (std::size_t I = 0; I < m_Founders; ++I)
-      Out.m_Cores.push_back({"127.0.0.1", m_Ports[I]});
-    Out.m_Peers = {"127.0.0.1", m_Ports.at(Index)};
+      Out.m_Cores.push_back(m_Peers[I]);
+    Out.m_Peers = m_Peers.at(Index);
     Out.m_Folder = folder(Index);
     Out.m_Form = Form;
     Out.m_LeafList = {"127.0.0.1", m_ListServer.port()};
@@ -106,9 +101,13 @@
   template <class Condition>
   bool runUntil(Condition Holds, Duration Limit = 8s) {
     const auto End = std::chrono::steady_clock::now() + Limit;
-    while (!Holds() && std::chrono::steady_clock::now() < End)
+    // A condition that makes a call is not asked again once it holds.
+    while (!Holds()) {
+      if (std::chrono::steady_clock::now() >= End)
+        return false;
       m_Io.run_one_for(5ms);
-    return Holds();
+    }
+    return true;
   }
   Result<OrderOutcome, CoreError> submit(std::size_t Index,
                                          RoutingOrder Order) {
@@ -158,7 +157,7 @@
   std::vector<std::shared_ptr<HttpExchange>> m_Held;
   int m_ListCalls = 0;
   std::filesystem::path m_Folder;
-  std::vector<std::uint16_t> m_Ports;
+  std::vector<Endpoint> m_Peers;
   std::vector<std::unique_ptr<CoreNode>> m_Nodes;
 };
 
--- a/src/ragwortdrift/net/http_server_test.cpp
+++ b/src/ragwortdrift/net/http_server_test.cpp
@@ -61,12 +61,12 @@
   return true;
 }
 
-void readMore(tcp::socket &Socket, std::string &Into) {
+void readMore(tcp::socket &Socket, std::string &Text) {
   char Buffer[4096];
   boost::system::error_code Error;
   Socket.non_blocking(true);
   const std::size_t Size = Socket.read_some(asio::buffer(Buffer), Error);
-  Into.append(Buffer, Size);
+  Text.append(Buffer, Size);
 }
 
 struct RefusedCase {
--- a/src/ragwortdrift/node/daemon_main.cpp
+++ b/src/ragwortdrift/node/daemon_main.cpp
@@ -29,56 +29,57 @@
   return std::nullopt;
 }
 
-Incarnation nextIncarnation(const Settings &Of) {
+Incarnation nextIncarnation(const Settings &DaemonSettings) {
   const auto Now = static_cast<std::uint64_t>(wallClockNow().count());
-  if (!Of.m_IncarnationFile)
+  if (!DaemonSettings.m_IncarnationFile)
     return Incarnation{Now};
   std::uint64_t Last = 0;
-  if (const auto Text = readFile(Of.m_IncarnationFile->string()))
+  if (const auto Text = readFile(DaemonSettings.m_IncarnationFile->string()))
     Last = std::strtoull(Text->c_str(), nullptr, 10);
   // The wall clock may have gone back since the last start.
   const std::uint64_t Next = std::max(Last + 1, Now);
-  std::ofstream(*Of.m_IncarnationFile) << Next << '\n';
+  std::ofstream(*DaemonSettings.m_IncarnationFile) << Next << '\n';
   return Incarnation{Next};
 }
 
-std::string describeStart(const StartError &Why) {
-  if (const auto *Store = std::get_if<StoreError>(&Why))
+std::string describeStart(const StartError &Error) {
+  if (const auto *Store = std::get_if<StoreError>(&Error))
     return "data folder: " + std::string(nameOf(Store->m_Code)) + " " +
            Store->m_File + " at offset " + std::to_string(Store->m_Offset);
-  if (const auto *Http = std::get_if<HttpError>(&Why))
+  if (const auto *Http = std::get_if<HttpError>(&Error))
     return std::string(nameOf(Http->m_Code)) + " " + Http->m_Detail;
   return "peer listener: " +
-         std::string(nameOf(std::get<NetError>(Why).m_Code));
+         std::string(nameOf(std::get<NetError>(Error).m_Code));
 }
 
-int runDaemon(const Settings &Of) {
-  const auto Chart = LeafChart::load(Of.m_ChartFolder / "leaf.ini");
+int runDaemon(const Settings &DaemonSettings) {
+  const auto Chart = LeafChart::load(DaemonSettings.m_ChartFolder / "leaf.ini");
   if (!isOk(Chart)) {
     for (const ChartError &Fault : errorOf(Chart))
-      std::cerr << (Of.m_ChartFolder / "leaf.ini").string() << ": "
+      std::cerr << (DaemonSettings.m_ChartFolder / "leaf.ini").string() << ": "
                 << describe(Fault) << '\n';
     return BadSettings;
   }
   const auto Logging =
-      startLogging({static_cast<LogSeverity>(Of.m_LogLevel),
-                    Of.m_LogFormat == LogFormat::Json, Of.m_LogFile});
+      startLogging({static_cast<LogSeverity>(DaemonSettings.m_LogLevel),
+                    DaemonSettings.m_LogFormat == LogFormat::Json,
+                    DaemonSettings.m_LogFile});
   if (!isOk(Logging)) {
     std::cerr << errorOf(Logging).m_File.string() << ": cannot be opened\n";
     return StartFailed;
   }
-  ControlNode Control(Of, nextIncarnation(Of));
+  ControlNode Control(DaemonSettings, nextIncarnation(DaemonSettings));
   std::vector<std::unique_ptr<TrafficThread>> Threads;
   std::vector<TrafficThread *> Pointers;
-  for (unsigned Index = 0; Index < Of.m_TrafficThreads; ++Index) {
-    Threads.push_back(std::make_unique<TrafficThread>(Of, Index, valueOf(Chart),
-                                                      Control.claims()));
+  for (unsigned Index = 0; Index < DaemonSettings.m_TrafficThreads; ++Index) {
+    Threads.push_back(std::make_unique<TrafficThread>(
+        DaemonSettings, Index, valueOf(Chart), Control.claims()));
     Pointers.push_back(Threads.back().get());
   }
   Control.setTraffic(Pointers);
-  for (const auto &Each : Threads) {
-    Each->setSiblings(Pointers);
-    const auto Listening = Each->listenForCallers();
+  for (const auto &Thread : Threads) {
+    Thread->setSiblings(Pointers);
+    const auto Listening = Thread->listenForCallers();
     if (!isOk(Listening)) {
       std::cerr << describeStart(errorOf(Listening)) << '\n';
       return StartFailed;
@@ -94,8 +95,8 @@
     std::cerr << describeStart(errorOf(Started)) << '\n';
     return StartFailed;
   }
-  for (const auto &Each : Threads)
-    Each->start();
+  for (const auto &Thread : Threads)
+    Thread->start();
   boost::asio::io_context SignalIo;
   boost::asio::signal_set Signals(SignalIo, SIGTERM, SIGINT);
   std::function<void()> Wait = [&] {
@@ -109,13 +110,13 @@
   Wait();
   std::thread SignalThread([&] { SignalIo.run(); });
   logEvent(LogSeverity::Info, "daemon.started",
-           {{"vm", Of.m_Vm}, {"domain", Of.m_Domain}});
+           {{"vm", DaemonSettings.m_Vm}, {"domain", DaemonSettings.m_Domain}});
   Control.run();
   SignalIo.stop();
   SignalThread.join();
-  for (const auto &Each : Threads)
-    Each->stop();
-  logEvent(LogSeverity::Info, "daemon.stopped", {{"vm", Of.m_Vm}});
+  for (const auto &Thread : Threads)
+    Thread->stop();
+  logEvent(LogSeverity::Info, "daemon.stopped", {{"vm", DaemonSettings.m_Vm}});
   return Success;
 }
 
@@ -127,28 +128,30 @@
       "config", options::value<std::string>(), "run with the settings of FILE")(
       "check-config", options::value<std::string>(),
       "check the settings of FILE and exit");
-  options::variables_map Given;
+  options::variables_map Arguments;
   try {
-    options::store(options::parse_command_line(Argc, Argv, Known), Given);
+    options::store(options::parse_command_line(Argc, Argv, Known), Arguments);
   } catch (const options::error &Error) {
     std::cerr << "ragwortdriftd: " << Error.what() << '\n';
     return Usage;
   }
-  if (Given.contains("help")) {
+  if (Arguments.contains("help")) {
     std::cout << Known;
     return Success;
   }
-  if (Given.contains("version")) {
+  if (Arguments.contains("version")) {
     std::cout << "ragwortdriftd " RAGWORTDRIFT_VERSION "\n";
     return Success;
   }
-  if (Given.contains("check-config"))
-    return readSettings(Given["check-config"].as<std::string>()) ? Success
-                                                                 : BadSettings;
-  if (!Given.contains("config")) {
+  if (Arguments.contains("check-config"))
+    return readSettings(Arguments["check-config"].as<std::string>())
+               ? Success
+               : BadSettings;
+  if (!Arguments.contains("config")) {
     std::cerr << "ragwortdriftd: --config FILE is required\n";
     return Usage;
   }
-  const auto Of = readSettings(Given["config"].as<std::string>());
-  return Of ? runDaemon(*Of) : BadSettings;
+  const auto DaemonSettings =
+      readSettings(Arguments["config"].as<std::string>());
+  return DaemonSettings ? runDaemon(*DaemonSettings) : BadSettings;
 }
--- a/src/ragwortdrift/tools/ctl/commands.cpp
+++ b/src/ragwortdrift/tools/ctl/commands.cpp
@@ -20,52 +20,53 @@
 /// Runs one online command.
 class Session {
 public:
-  Session(const Options &Given, std::ostream &Out, std::ostream &Err)
-      : m_Given(Given), m_Out(Out), m_Err(Err) {}
+  Session(const Options &CommandLine, std::ostream &Out, std::ostream &Err)
+      : m_CommandLine(CommandLine), m_Out(Out), m_Err(Err) {}
 
   ExitCode submit() {
-    const auto Text = readFile(m_Given.m_Manifest);
+    const auto Text = readFile(m_CommandLine.m_Manifest);
     if (!Text)
-      return unreadable(m_Given.m_Manifest);
+      return unreadable(m_CommandLine.m_Manifest);
     const auto Parsed = parseManifest(*Text);
     if (!isOk(Parsed)) {
-      printFaults(m_Given.m_Manifest, errorOf(Parsed), m_Given.m_Json, m_Out,
-                  m_Err);
+      printFaults(m_CommandLine.m_Manifest, errorOf(Parsed),
+                  m_CommandLine.m_Json, m_Out, m_Err);
       return ExitCode::Refused;
     }
     HttpRequest Request(http::verb::post, "/admin/submit", 11);
-    if (m_Given.m_Base)
-      Request.set("Rd-Base-Revision", std::to_string(*m_Given.m_Base));
+    if (m_CommandLine.m_Base)
+      Request.set("Rd-Base-Revision", std::to_string(*m_CommandLine.m_Base));
     Request.body() = *Text;
-    std::string Again = "submit --manifest " + m_Given.m_Manifest;
-    if (m_Given.m_Base)
-      Again += " --base " + std::to_string(*m_Given.m_Base);
+    std::string Again = "submit --manifest " + m_CommandLine.m_Manifest;
+    if (m_CommandLine.m_Base)
+      Again += " --base " + std::to_string(*m_CommandLine.m_Base);
     return change(std::move(Request), Again);
   }
 
   ExitCode order(const char *Target, const char *Subject) {
     HttpRequest Request(http::verb::post, Target, 11);
-    Request.body() = json::serialize(json::object{
-        {Subject, m_Given.m_Args[1]}, {"state", m_Given.m_Args[0]}});
+    Request.body() =
+        json::serialize(json::object{{Subject, m_CommandLine.m_Args[1]},
+                                     {"state", m_CommandLine.m_Args[0]}});
     return change(std::move(Request), std::string(Subject) + " " +
-                                          m_Given.m_Args[0] + " " +
-                                          m_Given.m_Args[1]);
+                                          m_CommandLine.m_Args[0] + " " +
+                                          m_CommandLine.m_Args[1]);
   }
 
   ExitCode voter() {
     HttpRequest Request(http::verb::post, "/admin/voter", 11);
-    Request.body() = json::serialize(
-        json::object{{"vm", m_Given.m_Args[1]}, {"change", m_Given.m_Args[0]}});
+    Request.body() = json::serialize(json::object{
+        {"vm", m_CommandLine.m_Args[1]}, {"change", m_CommandLine.m_Args[0]}});
     // It carries no submit id, so it is not repeated once it was sent.
-    const Finish Done = sendToAny(m_Given.m_Servers, Request, Repeat::UntilSent,
-                                  m_Given.m_Timeout);
+    const Finish Done = sendToAny(m_CommandLine.m_Servers, Request,
+                                  Repeat::UntilSent, m_CommandLine.m_Timeout);
     return report(Done, "status");
   }
 
   ExitCode snapshot() {
     const HttpRequest Request(http::verb::post, "/admin/snapshot", 11);
-    const Finish Done = sendToAny({m_Given.m_Servers.front()}, Request,
-                                  Repeat::UntilSent, m_Given.m_Timeout);
+    const Finish Done = sendToAny({m_CommandLine.m_Servers.front()}, Request,
+                                  Repeat::UntilSent, m_CommandLine.m_Timeout);
     return report(Done, "snapshot");
   }
 
@@ -77,13 +78,13 @@
   }
 
   ExitCode diff() {
-    const std::string &Path = m_Given.m_Args.front();
+    const std::string &Path = m_CommandLine.m_Args.front();
     const auto Text = readFile(Path);
     if (!Text)
       return unreadable(Path);
     const auto Wanted = parseManifest(*Text);
     if (!isOk(Wanted)) {
-      printFaults(Path, errorOf(Wanted), m_Given.m_Json, m_Out, m_Err);
+      printFaults(Path, errorOf(Wanted), m_CommandLine.m_Json, m_Out, m_Err);
       return ExitCode::Refused;
     }
     const auto Found = get("/admin/manifest");
@@ -99,41 +100,42 @@
       const auto Parsed = parseManifest(std::string_view(
           Manifest->as_string().data(), Manifest->as_string().size()));
       if (!isOk(Parsed)) {
-        printFaults("the server's manifest", errorOf(Parsed), m_Given.m_Json,
-                    m_Out, m_Err);
+        printFaults("the server's manifest", errorOf(Parsed),
+                    m_CommandLine.m_Json, m_Out, m_Err);
         return ExitCode::Refused;
       }
       Current = valueOf(Parsed);
     }
     printDifference(Revision->to_number<std::uint64_t>(), Current,
-                    valueOf(Wanted), m_Given.m_Json, m_Out);
+                    valueOf(Wanted), m_CommandLine.m_Json, m_Out);
     return ExitCode::Ok;
   }
 
   ExitCode wait() {
-    const auto Deadline = Clock::now() + m_Given.m_Timeout;
-    std::vector<Endpoint> Behind = m_Given.m_Servers;
+    const auto Deadline = Clock::now() + m_CommandLine.m_Timeout;
+    std::vector<Endpoint> Behind = m_CommandLine.m_Servers;
     while (true) {
       std::erase_if(Behind, [&](const Endpoint &Server) {
         const auto Found = revisionOf(Server, Deadline);
-        return Found && *Found >= m_Given.m_Revision;
+        return Found && *Found >= m_CommandLine.m_Revision;
       });
       if (Behind.empty())
         break;
       constexpr std::chrono::milliseconds Pause{50};
       if (Clock::now() + Pause >= Deadline) {
         for (const Endpoint &Server : Behind)
-          m_Err << formatEndpoint(Server) << ": revision " << m_Given.m_Revision
-                << " is not in force\n";
+          m_Err << formatEndpoint(Server) << ": revision "
+                << m_CommandLine.m_Revision << " is not in force\n";
         return ExitCode::TimedOut;
       }
       std::this_thread::sleep_for(Pause);
     }
-    if (m_Given.m_Json)
-      m_Out << json::serialize(json::object{{"revision", m_Given.m_Revision}})
+    if (m_CommandLine.m_Json)
+      m_Out << json::serialize(
+                   json::object{{"revision", m_CommandLine.m_Revision}})
             << '\n';
     else
-      m_Out << "revision " << m_Given.m_Revision << " is in force\n";
+      m_Out << "revision " << m_CommandLine.m_Revision << " is in force\n";
     return ExitCode::Ok;
   }
 
@@ -145,24 +147,24 @@
 
   /// Sends a change that carries a submit id.
   ExitCode change(HttpRequest Request, const std::string &Again) {
-    std::string Id = m_Given.m_SubmitId;
+    std::string Id = m_CommandLine.m_SubmitId;
     if (Id.empty()) {
       Id = to_string(boost::uuids::random_generator()());
       m_Err << "submit id: " << Id << std::endl;
     }
     Request.set("Rd-Submit-Id", Id);
-    const Finish Done =
-        sendToAny(m_Given.m_Servers, Request, Repeat::Safe, m_Given.m_Timeout);
+    const Finish Done = sendToAny(m_CommandLine.m_Servers, Request,
+                                  Repeat::Safe, m_CommandLine.m_Timeout);
     return report(Done, Again + " --submit-id " + Id);
   }
 
   /// Reads from the first server that answers.
   std::optional<Reply> get(const std::string &Target) {
     const HttpRequest Request(http::verb::get, Target, 11);
-    const auto Deadline = Clock::now() + m_Given.m_Timeout;
-    const auto Share =
-        m_Given.m_Timeout / static_cast<int>(m_Given.m_Servers.size());
-    for (const Endpoint &Server : m_Given.m_Servers) {
+    const auto Deadline = Clock::now() + m_CommandLine.m_Timeout;
+    const auto Share = m_CommandLine.m_Timeout /
+                       static_cast<int>(m_CommandLine.m_Servers.size());
+    for (const Endpoint &Server : m_CommandLine.m_Servers) {
       auto Found =
           exchange(Server, Request, std::min(Deadline, Clock::now() + Share));
       if (isOk(Found))
@@ -199,11 +201,11 @@
     if (Done.m_Kind == FinishKind::Unknown) {
       printError("unknown_outcome", Done.m_Detail,
                  "the outcome is unknown; to find out run: ragwortdriftctl " +
-                     FindOut + " --server " + m_Given.m_ServerText);
+                     FindOut + " --server " + m_CommandLine.m_ServerText);
       return ExitCode::OutcomeUnknown;
     }
     const json::object &Body = Done.m_Reply.m_Body;
-    if (m_Given.m_Json)
+    if (m_CommandLine.m_Json)
       m_Out << json::serialize(Body) << '\n';
     else
       printBody(Body, "");
@@ -218,7 +220,7 @@
 
   void printError(const char *Code, const std::string &Detail,
                   const std::string &Message) {
-    if (m_Given.m_Json)
+    if (m_CommandLine.m_Json)
       m_Out << json::serialize(json::object{
                    {"error", Code}, {"detail", Detail}, {"message", Message}})
             << '\n';
@@ -241,14 +243,14 @@
       printBody(Value.as_object(), Indent + "  ");
     } else if (Value.is_array()) {
       m_Out << '\n';
-      for (const json::value &Each : Value.as_array()) {
+      for (const json::value &Item : Value.as_array()) {
         m_Out << Indent << "  -";
-        if (Each.is_object())
-          for (const auto &[Name, Member] : Each.as_object())
+        if (Item.is_object())
+          for (const auto &[Name, Member] : Item.as_object())
             m_Out << ' ' << std::string_view(Name.data(), Name.size()) << '='
                   << plain(Member);
         else
-          m_Out << ' ' << plain(Each);
+          m_Out << ' ' << plain(Item);
         m_Out << '\n';
       }
     } else {
@@ -264,16 +266,16 @@
     return json::serialize(Value);
   }
 
-  const Options &m_Given;
+  const Options &m_CommandLine;
   std::ostream &m_Out;
   std::ostream &m_Err;
 };
 
-ExitCode run(const Options &Given, std::ostream &Out, std::ostream &Err) {
-  Session Current(Given, Out, Err);
-  switch (Given.m_Command) {
+ExitCode run(const Options &CommandLine, std::ostream &Out, std::ostream &Err) {
+  Session Current(CommandLine, Out, Err);
+  switch (CommandLine.m_Command) {
   case CommandName::Check:
-    return checkFile(Given, Out, Err);
+    return checkFile(CommandLine, Out, Err);
   case CommandName::Submit:
     return Current.submit();
   case CommandName::Diff:
@@ -289,11 +291,11 @@
   case CommandName::Voter:
     return Current.voter();
   case CommandName::Customer:
-    return Current.read("/admin/customer?name=" + Given.m_Args[1]);
+    return Current.read("/admin/customer?name=" + CommandLine.m_Args[1]);
   case CommandName::Snapshot:
     return Current.snapshot();
   case CommandName::Explain:
-    return explainRequest(Given, Out, Err);
+    return explainRequest(CommandLine, Out, Err);
   }
   return ExitCode::Usage;
 }
--- a/src/ragwortdrift/tools/ctl/explain.cpp
+++ b/src/ragwortdrift/tools/ctl/explain.cpp
@@ -161,17 +161,17 @@
   return Out;
 }
 
-ExitCode explainRequest(const Options &Given, std::ostream &Out,
+ExitCode explainRequest(const Options &CommandLine, std::ostream &Out,
                         std::ostream &Err) {
-  const std::string &Id = Given.m_Args.front();
+  const std::string &Id = CommandLine.m_Args.front();
   std::vector<Match> Matches;
-  for (std::size_t I = 1; I < Given.m_Args.size(); ++I) {
-    const auto Bytes = readFile(Given.m_Args[I]);
+  for (std::size_t I = 1; I < CommandLine.m_Args.size(); ++I) {
+    const auto Bytes = readFile(CommandLine.m_Args[I]);
     if (!Bytes) {
-      Err << Given.m_Args[I] << ": cannot be read\n";
+      Err << CommandLine.m_Args[I] << ": cannot be read\n";
       return ExitCode::Refused;
     }
-    readMatches(Given.m_Args[I], Id, *Bytes, Matches);
+    readMatches(CommandLine.m_Args[I], Id, *Bytes, Matches);
   }
   if (Matches.empty()) {
     Err << "no line of " << Id << " in these files\n";
@@ -181,7 +181,7 @@
                    [](const Match &A, const Match &B) {
                      return A.m_Line.field("time") < B.m_Line.field("time");
                    });
-  printMatches(Matches, Given.m_Json, Out);
+  printMatches(Matches, CommandLine.m_Json, Out);
   return ExitCode::Ok;
 }
 
--- a/src/ragwortdrift/tools/ctl/explain.hpp
+++ b/src/ragwortdrift/tools/ctl/explain.hpp
@@ -26,7 +26,7 @@
 /// `explain`: prints the lines of one request from several logs in order of
 /// time. Before each line stands what its process believed at that moment: the
 /// configuration, isolation, the core VMs, and the leafs that the line names.
-ExitCode explainRequest(const Options &Given, std::ostream &Out,
+ExitCode explainRequest(const Options &CommandLine, std::ostream &Out,
                         std::ostream &Err);
 
 } // namespace ragwortdrift::ctl
--- a/src/ragwortdrift/tools/ctl/offline.cpp
+++ b/src/ragwortdrift/tools/ctl/offline.cpp
@@ -22,7 +22,8 @@
          (Key.m_Name.empty() ? "" : " " + Key.m_Name);
 }
 
-void printSize(const Options &Given, const Document &Doc, std::ostream &Out) {
+void printSize(const Options &CommandLine, const Document &Doc,
+               std::ostream &Out) {
   const auto Built = buildCatalog(Revision{0}, Doc);
   std::size_t Groups = 0;
   std::size_t Leafs = 0;
@@ -42,14 +43,14 @@
       {"leafs", Leafs},
       {"partitions", Partitions},
       {"customers", Customers}};
-  if (Given.m_Json) {
+  if (CommandLine.m_Json) {
     json::object Body;
     for (const auto &[Name, Count] : Counts)
       Body[Name] = Count;
     Out << json::serialize(Body) << '\n';
     return;
   }
-  Out << Given.m_Args.front() << ':';
+  Out << CommandLine.m_Args.front() << ':';
   const char *Separator = " ";
   for (const auto &[Name, Count] : Counts) {
     Out << Separator << Count << ' ' << Name;
@@ -78,9 +79,9 @@
   };
   std::vector<KeyChange> Changes;
   for (const std::string &Key : Keys)
-    if (KeyChange Each{Key, ValueIn(From, Key), ValueIn(To, Key)};
-        Each.m_From != Each.m_To)
-      Changes.push_back(std::move(Each));
+    if (KeyChange Item{Key, ValueIn(From, Key), ValueIn(To, Key)};
+        Item.m_From != Item.m_To)
+      Changes.push_back(std::move(Item));
   return Changes;
 }
 
@@ -94,34 +95,35 @@
                  const std::vector<ConfigError> &Faults, bool Json,
                  std::ostream &Out, std::ostream &Err) {
   json::array List;
-  for (const ConfigError &Each : Faults) {
+  for (const ConfigError &Item : Faults) {
     if (!Json)
-      Err << Path << ": " << describe(Each) << '\n';
-    List.push_back(json::object{{"line", Each.m_Line},
-                                {"section", Each.m_Section},
-                                {"key", Each.m_Key},
-                                {"code", text(nameOf(Each.m_Code))},
-                                {"detail", Each.m_Detail}});
+      Err << Path << ": " << describe(Item) << '\n';
+    List.push_back(json::object{{"line", Item.m_Line},
+                                {"section", Item.m_Section},
+                                {"key", Item.m_Key},
+                                {"code", text(nameOf(Item.m_Code))},
+                                {"detail", Item.m_Detail}});
   }
   if (Json)
     Out << json::serialize(json::object{{"faults", List}}) << '\n';
 }
 
-ExitCode checkFile(const Options &Given, std::ostream &Out, std::ostream &Err) {
-  const std::string &Path = Given.m_Args.front();
+ExitCode checkFile(const Options &CommandLine, std::ostream &Out,
+                   std::ostream &Err) {
+  const std::string &Path = CommandLine.m_Args.front();
   const auto Bytes = readFile(Path);
   if (!Bytes) {
     Err << Path << ": the file cannot be read\n";
     return ExitCode::Usage;
   }
-  if (Given.m_CheckSettings) {
+  if (CommandLine.m_CheckSettings) {
     const auto Parsed = parseSettings(*Bytes);
     if (!isOk(Parsed)) {
-      printFaults(Path, errorOf(Parsed), Given.m_Json, Out, Err);
+      printFaults(Path, errorOf(Parsed), CommandLine.m_Json, Out, Err);
       return ExitCode::Refused;
     }
     const Settings &Found = valueOf(Parsed);
-    if (Given.m_Json)
+    if (CommandLine.m_Json)
       Out << json::serialize(json::object{{"vm", Found.m_Vm.m_Value},
                                           {"domain", Found.m_Domain.m_Value}})
           << '\n';
@@ -131,10 +133,10 @@
   }
   const auto Parsed = parseManifest(*Bytes);
   if (!isOk(Parsed)) {
-    printFaults(Path, errorOf(Parsed), Given.m_Json, Out, Err);
+    printFaults(Path, errorOf(Parsed), CommandLine.m_Json, Out, Err);
     return ExitCode::Refused;
   }
-  printSize(Given, valueOf(Parsed), Out);
+  printSize(CommandLine, valueOf(Parsed), Out);
   return ExitCode::Ok;
 }
 
@@ -165,17 +167,17 @@
     Print(IsNew ? "+" : "~", headerOf(Key));
     if (IsNew)
       Added.emplace_back(headerOf(Key));
-    for (const KeyChange &Each :
+    for (const KeyChange &Item :
          compare(IsNew ? Section{} : Old->second, Values)) {
-      if (!Json && Each.m_From)
-        Out << "-   " << Each.m_Key << " = " << *Each.m_From << '\n';
-      if (!Json && Each.m_To)
-        Out << "+   " << Each.m_Key << " = " << *Each.m_To << '\n';
+      if (!Json && Item.m_From)
+        Out << "-   " << Item.m_Key << " = " << *Item.m_From << '\n';
+      if (!Json && Item.m_To)
+        Out << "+   " << Item.m_Key << " = " << *Item.m_To << '\n';
       if (!IsNew)
         Changed.push_back(json::object{{"section", headerOf(Key)},
-                                       {"key", Each.m_Key},
-                                       {"from", orNull(Each.m_From)},
-                                       {"to", orNull(Each.m_To)}});
+                                       {"key", Item.m_Key},
+                                       {"from", orNull(Item.m_From)},
+                                       {"to", orNull(Item.m_To)}});
     }
   }
   if (Json)
--- a/src/ragwortdrift/tools/ctl/offline.hpp
+++ b/src/ragwortdrift/tools/ctl/offline.hpp
@@ -17,7 +17,8 @@
                  std::ostream &Out, std::ostream &Err);
 
 /// `check`: reads a manifest or settings and prints its faults or its size.
-ExitCode checkFile(const Options &Given, std::ostream &Out, std::ostream &Err);
+ExitCode checkFile(const Options &CommandLine, std::ostream &Out,
+                   std::ostream &Err);
 
 /// Prints what turns Current into Wanted. A customer that Wanted names without
 /// settings keeps those it has.
--- a/src/ragwortdrift/tools/ctl/options.cpp
+++ b/src/ragwortdrift/tools/ctl/options.cpp
@@ -125,8 +125,8 @@
 HelpText generalHelp() {
   std::ostringstream Out;
   Out << "Usage: ragwortdriftctl COMMAND [options]\n\nCommands:\n";
-  for (const CommandSpec &Each : specs())
-    Out << "  " << Each.m_Usage << "\n      " << Each.m_Help << "\n";
+  for (const CommandSpec &Spec : specs())
+    Out << "  " << Spec.m_Usage << "\n      " << Spec.m_Help << "\n";
   Out << '\n' << describeOptions() << '\n' << ExitCodes;
   return {Out.str()};
 }
@@ -284,7 +284,7 @@
   }
   const auto Spec = std::find_if(
       specs().begin(), specs().end(),
-      [&](const CommandSpec &Each) { return Each.m_Name == Words.front(); });
+      [&](const CommandSpec &Spec) { return Spec.m_Name == Words.front(); });
   if (Spec == specs().end())
     return UsageError{UsageErrorCode::UnknownCommand,
                       "unknown command '" + Words.front() +
