Save up the whole share of the slack for repeats

Cause: on the grown sites an entry VM sends 1.3 searches a second and saved up one token for each shard, since half of its share of the slack was earned by time instead. After one hedge the shard had no token for about three seconds, so one in five late parts waited for the end of its leaf's pause. Change: the whole share may be saved up; it is earned by time only in the first two windows after a start, so a window sees it once, as before.

--- a/src/ragwortdrift/dispatch/dispatcher.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher.cpp
@@ -14,10 +14,12 @@
 
 namespace {
 
-/// Share of the common slack that may be saved up, and share that is earned in
-/// one window: any window then sees at most their sum. The rest is for VMs that
-/// the others do not know of yet.
-constexpr double SlackShare = 0.4;
+/// Share of the common slack that all VMs together may save up. The rest is for
+/// VMs that the others do not know of yet.
+constexpr double SlackShare = 0.8;
+/// Windows in which a VM that has started earns its share of the slack. The
+/// tokens of its former life may have been spent in the first of them.
+constexpr double SlackWindows = 2;
 /// Share of the common ratio that is earned; the rest covers repeats that reach
 /// a leaf in a later window than the requests that earned them.
 constexpr double RatioShare = 0.95;
@@ -127,11 +129,13 @@
                      m_StartedAt})
           .first;
   Budget &Account = Found->second;
-  // A VM that restarts begins without tokens, since those of its former life
-  // may have been spent in this window.
-  Account.m_Tokens.earn(
-      SlackShare * m_Options.m_RepeatSlack / static_cast<double>(m_EntryCount) *
-      toMillis(Now - Account.m_EarnedAt) / toMillis(m_Options.m_RepeatWindow));
+  // Later than that only requests earn tokens: what is saved up may then be
+  // spent at once, and any window sees it only once.
+  const double FillMillis = SlackWindows * toMillis(m_Options.m_RepeatWindow);
+  const auto Earned = [&](TimePoint At) {
+    return std::min(toMillis(At - m_StartedAt) / FillMillis, 1.0);
+  };
+  Account.m_Tokens.earn(burst() * (Earned(Now) - Earned(Account.m_EarnedAt)));
   Account.m_EarnedAt = Now;
   return Account.m_Tokens;
 }
--- a/src/ragwortdrift/dispatch/dispatcher_test.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher_test.cpp
@@ -87,6 +87,20 @@
      100ms},
 };
 
+struct SavingCase {
+  const char *m_Name;
+  Duration m_Idle;
+  /// Repeats that the VM may send at once afterwards.
+  int m_Repeats;
+};
+const SavingCase SavingCases[] = {
+    // The tokens of the VM's former life may have been spent in this window.
+    {"just started", 100ms, 0},
+    {"one window after the start", 10s, 1},
+    {"two windows after the start", 20s, 2},
+    {"long after the start", 10min, 2},
+};
+
 struct IsolationCase {
   const char *m_Name;
   /// Whether the VM's own domain has a leaf of each shard.
@@ -295,6 +309,30 @@
   }
 }
 
+// Guards against a VM with few requests that cannot repeat the second of two
+// requests although its share of the slack is unused.
+TABLE_TEST(dispatch, saves_up_its_share_of_the_slack, SavingCases) {
+  DispatchOptions Options = DispatchFixture::defaultOptions();
+  Options.m_RepeatRatio = 0;
+  Options.m_RepeatSlack = 10;
+  DispatchFixture F(1, Options);
+  // Four VMs save up eight of the ten repeats, two each.
+  F.m_Dispatcher.setEntryCount(4);
+  F.pass(Row.m_Idle);
+  constexpr int Requests = 6;
+  for (int I = 0; I < Requests; ++I) {
+    F.ask("/r/");
+    const auto Open = F.m_Transport.openTo("one");
+    cr_assert_eq(Open.size(), 1U, "%s", Row.m_Name);
+    F.m_Transport.end(Open.front(), F.refusal());
+    for (const SendId Id : F.m_Transport.openTo("one"))
+      F.m_Transport.end(Id, F.answerOf(Id));
+    F.pass(100ms);
+  }
+  cr_assert_eq(F.m_Transport.m_Sends[ServiceName{"one"}] - Requests,
+               Row.m_Repeats, "%s", Row.m_Name);
+}
+
 // Guards against a search that is worth little because one shard is late, and
 // against a false count of the shards that are missing.
 Test(dispatch, answers_near_the_objective_without_a_late_shard) {
