Pass the list of leafs on through every core VM, send content from one of them

Cause: only the leader sent the list, and an entry VM watches five core VMs. Every core VM also sent each state to every entry VM, five times across failure domains. Change: core VMs that do not lead follow the leader's list and pass it on with its stamp (term, number) and its age. An entry VM takes state and list from one core VM, of its own domain if possible; the others only tell the newest revision and stamp, and one that is ahead for 150 ms becomes the source. Test: fleet/passes_the_list_on_through_every_core_vm failed before.

--- a/include/ragwortdrift/fleet/core_node.hpp
+++ b/include/ragwortdrift/fleet/core_node.hpp
@@ -44,7 +44,9 @@
   struct Watcher {
     VmId m_Vm;
     std::shared_ptr<ResponseStream> m_Stream;
+    WatchKind m_Kind = WatchKind::Content;
     std::uint64_t m_SentRevision = 0;
+    ListStamp m_SentList;
   };
   using Stream = std::shared_ptr<ResponseStream>;
 
@@ -82,8 +84,8 @@
 
   // Watchers.
   void onWatch(const PeerRequest &Request, const Stream &Out);
-  void report(Watcher &To, bool WithLeafs);
-  void reportAll(bool WithLeafs);
+  void report(Watcher &To);
+  void reportAll();
   /// Reports once for all entries that are applied together.
   void reportSoon();
   /// Whether the state applied here was up to date at some time since the log
@@ -91,7 +93,12 @@
   /// reach a VM that has just started.
   bool serves();
   std::uint32_t entryCount();
+
+  // The list of leafs.
+  void updateLeafs();
   void readLeafs();
+  /// Takes the list from the leader, which reads it for all.
+  void followLeafs();
   bool listIsFresh() const;
 
   boost::asio::io_context &m_Io;
@@ -119,9 +126,14 @@
   bool m_Stopping = false;
   std::map<std::uint64_t, Watcher> m_Watchers;
   std::uint64_t m_NextWatcher = 0;
+  std::uint64_t m_StatesSent = 0;
   std::map<VmId, TimePoint> m_Entries;
   LeafList m_Leafs;
+  ListStamp m_ListStamp;
   std::optional<TimePoint> m_ListReadAt;
+  /// The leader whose list this VM follows.
+  std::string m_ListSource;
+  PeerCall m_ListWatch;
   MetricsRegistry m_Metrics;
   std::vector<TimerService::Subscription> m_Periodic;
   TimerService::Subscription m_ListTimer;
--- a/include/ragwortdrift/fleet/entry_control.hpp
+++ b/include/ragwortdrift/fleet/entry_control.hpp
@@ -25,8 +25,10 @@
 };
 
 /// The control state of an entry VM. It watches the core VMs, takes the newest
-/// state that any of them has applied and never goes back. When no core VM
-/// sends a list of leafs, it reads the list itself.
+/// state that any of them has applied and never goes back. One core VM, of its
+/// own failure domain if possible, sends it the state and the list of leafs;
+/// the others only tell which are the newest. When no core VM knows a recent
+/// list, it reads the list itself.
 class EntryControl {
 public:
   EntryControl(boost::asio::io_context &Io, FleetSettings Settings,
@@ -45,11 +47,25 @@
     PeerCall m_Call;
     TimerService::Subscription m_Retry;
     bool m_Connected = false;
+    FailureDomain m_Domain;
+    std::uint64_t m_Revision = 0;
+    ListStamp m_List;
   };
 
   void watchMore();
   void openWatch(const std::string &Address);
-  void onReport(const std::string &From, const CoreReport &Report);
+  void onWatchEnd(const std::string &Address,
+                  const Result<Done, PeerError> &Ended);
+  void onReport(const std::string &From, CoreReport Report);
+  /// Takes the content from a core VM that has newer content than this VM holds
+  /// or is nearer than the one that sends it.
+  void reviewSource(const std::string &From);
+  void setSourceAfter(Duration Delay, const std::string &Address);
+  void setSource(const std::string &Address);
+  bool isAhead(const Watch &Link) const;
+  bool isNear(const Watch &Link) const {
+    return Link.m_Domain == m_Settings.m_Domain;
+  }
   void takeEntryCount(std::size_t Count);
   void takeState(const std::string &From, const RoutingState &State);
   void checkList();
@@ -64,11 +80,16 @@
   EntryUpdates m_Updates;
   std::map<std::string, Watch> m_Watches;
   std::set<std::string> m_Cores;
+  /// The core VM that sends the content, empty while none is connected.
+  std::string m_Source;
+  /// Running while another core VM has newer content.
+  TimerService::Subscription m_SourceTimer;
   std::uint64_t m_Revision = 0;
   std::uint64_t m_Version = 0;
   std::size_t m_EntryCount = 1;
-  /// When a core VM last showed that it reads the list.
-  TimePoint m_ListHeardAt;
+  ListStamp m_ListStamp;
+  /// When the list that is held was last known to be the newest.
+  TimePoint m_ListConfirmedAt;
   TimePoint m_ListAskedAt;
   std::uint64_t m_CallsOfLastRead = 1;
   bool m_HasList = false;
--- a/include/ragwortdrift/fleet/messages.hpp
+++ b/include/ragwortdrift/fleet/messages.hpp
@@ -10,28 +10,60 @@
 
 namespace ragwortdrift {
 
+/// Orders lists of leafs: the term of the leader that read the list, and how
+/// many different lists it had read then. Zero is no list.
+struct ListStamp {
+  std::uint64_t m_Term = 0;
+  std::uint64_t m_Number = 0;
+
+  friend auto operator<=>(const ListStamp &, const ListStamp &) = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(m_Term, m_Number); }
+};
+
+/// What a watcher wants to be told.
+enum class WatchKind : std::uint8_t {
+  /// The operators' state and the list of leafs, whenever they change.
+  Content,
+  /// Only which state and list are the newest.
+  Stamps,
+  /// The list, for a core VM that passes it on.
+  ListForCore
+};
+
 /// Opens a stream of CoreReport messages from a core VM.
 struct WatchRequest {
+  WatchKind m_Kind = WatchKind::Content;
   /// Revision of the routing state that the watcher holds.
   std::uint64_t m_Revision = 0;
-  template <class Archive> void serialize(Archive &Ar) { Ar(m_Revision); }
+  /// The list that the watcher holds.
+  ListStamp m_List;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_Kind, m_Revision, m_List);
+  }
 };
 
 /// What a core VM tells a watcher: at once when something changes, and
 /// periodically.
 struct CoreReport {
+  /// Failure domain of the core VM.
+  FailureDomain m_Domain;
   /// The operators' state, when it is newer than what was sent before.
   std::optional<RoutingState> m_State;
-  /// A list of leafs that this VM has just read.
+  /// The list of leafs, when it is newer than what was sent before.
   std::optional<LeafList> m_Leafs;
+  /// Revision of the operators' state that this VM has applied; 0 while it may
+  /// be an old one.
+  std::uint64_t m_Revision = 0;
+  ListStamp m_List;
+  /// How long ago the list was read; nothing when no recent one is known.
+  std::optional<Duration> m_ListAge;
   /// Peer addresses of all core VMs known.
   std::vector<std::string> m_Cores;
   /// Entry VMs that were seen recently.
   std::uint32_t m_EntryCount = 0;
-  /// Whether this VM reads the list of leafs for all others.
-  bool m_ReadsList = false;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(m_State, m_Leafs, m_Cores, m_EntryCount, m_ReadsList);
+    Ar(m_Domain, m_State, m_Leafs, m_Revision, m_List, m_ListAge, m_Cores,
+       m_EntryCount);
   }
 };
 
--- a/src/ragwortdrift/fleet/core_members.cpp
+++ b/src/ragwortdrift/fleet/core_members.cpp
@@ -26,16 +26,6 @@
 /// An entry VM counts for this long after it was last seen, so that shares of
 /// common budgets do not grow while VMs restart.
 constexpr std::chrono::seconds EntryMemory{30};
-/// Time between reads of the list of leafs. A leaving leaf must get no request
-/// 3 s after the list shows it.
-constexpr std::chrono::milliseconds ListInterval{1000};
-/// A new leader starts to read the list within this.
-constexpr std::chrono::milliseconds LeaderCheckInterval{50};
-/// Share of the list's rate that its one regular reader may use; the rest is
-/// for entry VMs that are cut off from it.
-constexpr double ListRateShare = 0.4;
-/// A list counts as fresh for two reads that failed.
-constexpr std::chrono::milliseconds ListFreshFor{2500};
 
 const Member *findVoter(const ReplicatedLogStatus &Status, const VmId &Vm) {
   for (const Member &Item : Status.m_Voters)
@@ -193,25 +183,35 @@
     return Entry.second.m_Vm == In.m_From;
   });
   const std::uint64_t Id = m_NextWatcher++;
+  const WatchRequest &Asked = valueOf(Request);
   Watcher &Added = m_Watchers[Id];
-  Added = {In.m_From, Out, valueOf(Request).m_Revision};
-  m_Entries[In.m_From] = m_Timers.now();
+  Added = {In.m_From, Out, Asked.m_Kind, Asked.m_Revision, Asked.m_List};
   Out->onCancel([this, Id] { m_Watchers.erase(Id); });
-  report(Added, !m_Leafs.empty() && listIsFresh());
+  report(Added);
 }
 
-void CoreNode::report(Watcher &To, bool WithLeafs) {
+void CoreNode::report(Watcher &To) {
+  if (To.m_Kind != WatchKind::ListForCore)
+    m_Entries[To.m_Vm] = m_Timers.now();
   CoreReport Out;
-  if (serves() && m_State.m_Revision > To.m_SentRevision) {
+  Out.m_Domain = m_Settings.m_Domain;
+  Out.m_Revision = serves() ? m_State.m_Revision : 0;
+  if (To.m_Kind == WatchKind::Content && Out.m_Revision > To.m_SentRevision) {
     Out.m_State = m_State;
+    ++m_StatesSent;
     To.m_SentRevision = m_State.m_Revision;
   }
-  if (WithLeafs)
-    Out.m_Leafs = m_Leafs;
+  if (listIsFresh()) {
+    Out.m_List = m_ListStamp;
+    Out.m_ListAge = m_Timers.now() - *m_ListReadAt;
+    if (To.m_Kind != WatchKind::Stamps && m_ListStamp > To.m_SentList) {
+      Out.m_Leafs = m_Leafs;
+      To.m_SentList = m_ListStamp;
+    }
+  }
   Out.m_Cores = knownCores();
   Out.m_Cores.push_back(m_Address);
   Out.m_EntryCount = entryCount();
-  Out.m_ReadsList = listIsFresh();
   const auto Stream = To.m_Stream;
   Stream->send(encode(Out));
 }
@@ -230,21 +230,19 @@
   if (!m_ReportTimer)
     m_ReportTimer = m_Timers.after(Duration{0}, [this] {
       m_ReportTimer.reset();
-      reportAll(false);
+      reportAll();
     });
 }
 
-void CoreNode::reportAll(bool WithLeafs) {
+void CoreNode::reportAll() {
   // A report that cannot be sent may end its watcher.
   std::vector<std::uint64_t> Ids;
   for (const auto &[Id, Item] : m_Watchers)
     Ids.push_back(Id);
   for (const std::uint64_t Id : Ids) {
     const auto Found = m_Watchers.find(Id);
-    if (Found == m_Watchers.end())
-      continue;
-    m_Entries[Found->second.m_Vm] = m_Timers.now();
-    report(Found->second, WithLeafs);
+    if (Found != m_Watchers.end())
+      report(Found->second);
   }
 }
 
@@ -255,34 +253,4 @@
   return static_cast<std::uint32_t>(m_Entries.size());
 }
 
-bool CoreNode::listIsFresh() const {
-  return isLeader() && m_ListReadAt &&
-         m_Timers.now() - *m_ListReadAt < ListFreshFor;
-}
-
-void CoreNode::readLeafs() {
-  if (!isLeader()) {
-    m_ListTimer = m_Timers.after(LeaderCheckInterval, [this] { readLeafs(); });
-    return;
-  }
-  const std::uint64_t CallsBefore = m_List.calls();
-  const auto Again = [this, CallsBefore] {
-    const double Calls = static_cast<double>(m_List.calls() - CallsBefore);
-    const Duration ByRate(static_cast<Duration::rep>(
-        1e6 * Calls / (m_Settings.m_LeafListRate * ListRateShare)));
-    m_ListTimer = m_Timers.after(std::max<Duration>(ListInterval, ByRate),
-                                 [this] { readLeafs(); });
-  };
-  m_List.read([this, Again](Result<LeafList, ListError> Outcome) {
-    if (isOk(Outcome)) {
-      const bool Changed = !m_ListReadAt || valueOf(Outcome) != m_Leafs;
-      m_Leafs = valueOf(std::move(Outcome));
-      m_ListReadAt = m_Timers.now();
-      if (Changed)
-        reportAll(true);
-    }
-    Again();
-  });
-}
-
 } // namespace ragwortdrift
--- a/src/ragwortdrift/fleet/core_node.cpp
+++ b/src/ragwortdrift/fleet/core_node.cpp
@@ -65,9 +65,8 @@
       m_Timers.every(StoreCheckInterval, [this] { checkStore(); }));
   m_Periodic.push_back(
       m_Timers.every(MembershipInterval, [this] { checkMembership(); }));
-  m_Periodic.push_back(
-      m_Timers.every(ReportInterval, [this] { reportAll(false); }));
-  m_ListTimer = m_Timers.after(Duration{0}, [this] { readLeafs(); });
+  m_Periodic.push_back(m_Timers.every(ReportInterval, [this] { reportAll(); }));
+  m_ListTimer = m_Timers.after(Duration{0}, [this] { updateLeafs(); });
   return Done{};
 }
 
@@ -380,6 +379,8 @@
       .set(static_cast<double>(m_State.m_Config.m_Version));
   m_Metrics.gauge("ragwortdrift_watchers")
       .set(static_cast<double>(m_Watchers.size()));
+  m_Metrics.gauge("ragwortdrift_states_sent")
+      .set(static_cast<double>(m_StatesSent));
   m_Metrics.gauge("ragwortdrift_leaf_list_calls")
       .set(static_cast<double>(m_List.calls()));
   return m_Metrics.snapshot();
--- a/src/ragwortdrift/fleet/entry_control.cpp
+++ b/src/ragwortdrift/fleet/entry_control.cpp
@@ -20,6 +20,9 @@
 /// An entry VM that has just started reads the list itself if no core VM has
 /// sent it within this.
 constexpr std::chrono::milliseconds FirstListWait{150};
+/// A core VM that has newer content than this VM holds sends it after this. Its
+/// usual source has it within a heartbeat of the replicated log, 75 ms.
+constexpr std::chrono::milliseconds SourceWait{150};
 /// Without news of the list for this long an entry VM reads it itself. Core
 /// VMs report every 500 ms, and elect a new leader within a second.
 constexpr std::chrono::milliseconds ListSilence{2500};
@@ -43,7 +46,7 @@
 
 void EntryControl::start() {
   m_Driver.start();
-  m_ListHeardAt = m_Timers.now();
+  m_ListConfirmedAt = m_Timers.now();
   m_ListAskedAt = m_Timers.now();
   setCores(m_Settings.m_Cores);
   m_FirstListTimer = m_Timers.after(FirstListWait, [this] {
@@ -86,56 +89,135 @@
     logEvent(LogSeverity::Warning, "core.bad_address", {{"core", Address}});
     return;
   }
+  const WatchRequest Request{Address == m_Source ? WatchKind::Content
+                                                 : WatchKind::Stamps,
+                             m_Revision, m_ListStamp};
   Watch &Link = m_Watches[Address];
   Link.m_Call = m_PeerClient.open(
-      To->m_Ip, To->m_Port, "/watch", encode(WatchRequest{m_Revision}),
-      WatchTime,
+      To->m_Ip, To->m_Port, "/watch", encode(Request), WatchTime,
       [this, Address](const std::string &Message) {
-        const auto Report = decode<CoreReport>(Message);
+        auto Report = decode<CoreReport>(Message);
         if (!isOk(Report)) {
           logEvent(LogSeverity::Warning, "core.bad_report",
                    {{"core", Address}});
           return;
         }
-        onReport(Address, valueOf(Report));
+        onReport(Address, valueOf(std::move(Report)));
       },
       [this, Address](const Result<Done, PeerError> &Ended) {
-        const auto Found = m_Watches.find(Address);
-        if (Found == m_Watches.end())
-          return;
-        if (std::exchange(Found->second.m_Connected, false))
-          logEvent(LogSeverity::Warning, "core.lost",
-                   {{"core", Address},
-                    {"cause", isOk(Ended) ? std::string_view("ended")
-                                          : nameOf(errorOf(Ended).m_Code)}});
-        Found->second.m_Retry =
-            m_Timers.after(WatchRetry, [this, Address] { openWatch(Address); });
+        onWatchEnd(Address, Ended);
       });
 }
 
-void EntryControl::onReport(const std::string &From, const CoreReport &Report) {
+void EntryControl::onWatchEnd(const std::string &Address,
+                              const Result<Done, PeerError> &Ended) {
+  const auto Found = m_Watches.find(Address);
+  if (Found == m_Watches.end())
+    return;
+  Found->second.m_Retry =
+      m_Timers.after(WatchRetry, [this, Address] { openWatch(Address); });
+  if (!std::exchange(Found->second.m_Connected, false))
+    return;
+  logEvent(LogSeverity::Warning, "core.lost",
+           {{"core", Address},
+            {"cause", isOk(Ended) ? std::string_view("ended")
+                                  : nameOf(errorOf(Ended).m_Code)}});
+  if (Address != m_Source)
+    return;
+  m_Source.clear();
+  for (const auto &[Other, Link] : m_Watches)
+    if (Link.m_Connected) {
+      setSource(Other);
+      return;
+    }
+}
+
+void EntryControl::onReport(const std::string &From, CoreReport Report) {
   const auto Found = m_Watches.find(From);
   if (Found == m_Watches.end())
     return;
-  if (!std::exchange(Found->second.m_Connected, true))
+  Watch &Link = Found->second;
+  Link.m_Domain = Report.m_Domain;
+  Link.m_Revision = Report.m_Revision;
+  Link.m_List = Report.m_List;
+  if (!std::exchange(Link.m_Connected, true))
     logEvent(LogSeverity::Info, "core.connected",
-             {{"core", From}, {"reads_list", Report.m_ReadsList}});
+             {{"core", From}, {"revision", Report.m_Revision}});
   if (Report.m_State)
     takeState(From, *Report.m_State);
-  if (Report.m_ReadsList)
-    m_ListHeardAt = m_Timers.now();
-  if (Report.m_Leafs) {
+  if (Report.m_Leafs && Report.m_List > m_ListStamp) {
     m_HasList = true;
-    m_Updates.m_Leafs(*Report.m_Leafs);
+    m_ListStamp = Report.m_List;
+    m_Updates.m_Leafs(std::move(*Report.m_Leafs));
   }
+  if (Report.m_ListAge && Report.m_List == m_ListStamp)
+    m_ListConfirmedAt =
+        std::max(m_ListConfirmedAt, m_Timers.now() - *Report.m_ListAge);
   // Different core VMs may have seen different entry VMs.
   takeEntryCount(Report.m_EntryCount);
   const std::size_t Known = m_Cores.size();
   m_Cores.insert(Report.m_Cores.begin(), Report.m_Cores.end());
+  reviewSource(From);
   if (m_Cores.size() != Known)
     watchMore();
 }
 
+bool EntryControl::isAhead(const Watch &Link) const {
+  return Link.m_Revision > m_Revision || Link.m_List > m_ListStamp;
+}
+
+void EntryControl::reviewSource(const std::string &From) {
+  if (From == m_Source)
+    return;
+  const Watch &Link = m_Watches[From];
+  if (m_Source.empty()) {
+    setSourceAfter(Duration{0}, From);
+    return;
+  }
+  const Watch &Current = m_Watches[m_Source];
+  if (isAhead(Link)) {
+    // A VM that has just started waits for nobody.
+    const bool HoldsNothing = m_Revision == 0 || !m_HasList;
+    setSourceAfter(HoldsNothing && !isAhead(Current) ? Duration{0} : SourceWait,
+                   From);
+    return;
+  }
+  const bool IsCurrent =
+      Link.m_Revision == m_Revision && Link.m_List == m_ListStamp;
+  if (IsCurrent && isNear(Link) && !isNear(Current))
+    setSourceAfter(Duration{0}, From);
+}
+
+void EntryControl::setSourceAfter(Duration Delay, const std::string &Address) {
+  if (m_SourceTimer)
+    return;
+  // Not within a report, since the change ends its watch.
+  m_SourceTimer = m_Timers.after(Delay, [this, Address] {
+    m_SourceTimer.reset();
+    const auto Found = m_Watches.find(Address);
+    if (Found == m_Watches.end() || !Found->second.m_Connected)
+      return;
+    const Watch &Link = Found->second;
+    const bool IsNearer = !m_Source.empty() && isNear(Link) &&
+                          !isNear(m_Watches[m_Source]) &&
+                          Link.m_Revision >= m_Revision;
+    if (m_Source.empty() || isAhead(Link) || IsNearer)
+      setSource(Address);
+  });
+}
+
+void EntryControl::setSource(const std::string &Address) {
+  const std::string Former = std::exchange(m_Source, Address);
+  logEvent(LogSeverity::Info, "core.source",
+           {{"core", Address},
+            {"former", Former},
+            {"revision", m_Revision},
+            {"its_revision", m_Watches[Address].m_Revision}});
+  if (m_Watches.contains(Former))
+    openWatch(Former);
+  openWatch(Address);
+}
+
 void EntryControl::takeEntryCount(std::size_t Count) {
   if (Count <= m_EntryCount)
     return;
@@ -174,7 +256,7 @@
   const double Calls = static_cast<double>(m_CallsOfLastRead * m_EntryCount);
   const Duration ByRate(static_cast<Duration::rep>(
       1e6 * Calls / (m_Settings.m_LeafListRate * OwnListRateShare)));
-  if (Now - m_ListHeardAt < ListSilence ||
+  if (Now - m_ListConfirmedAt < ListSilence ||
       Now - m_ListAskedAt < std::max<Duration>(OwnListInterval, ByRate))
     return;
   readList();
--- a/src/ragwortdrift/fleet/fleet_test.cpp
+++ b/src/ragwortdrift/fleet/fleet_test.cpp
@@ -142,12 +142,21 @@
                              const std::string &Text = {}) {
     return SetConfig{{Version, Text.empty() ? std::to_string(Version) : Text}};
   }
-  double voters(std::size_t Index) {
+  double metric(std::size_t Index, const char *Name) {
     for (const MetricSample &Item : m_Nodes[Index]->metrics())
-      if (Item.m_Name == "ragwortdrift_log_voters")
+      if (Item.m_Name == Name)
         return std::get<Gauge>(Item.m_Value).value();
     return 0;
   }
+  double voters(std::size_t Index) {
+    return metric(Index, "ragwortdrift_log_voters");
+  }
+  std::optional<std::size_t> leader() {
+    for (std::size_t I = 0; I < m_Nodes.size(); ++I)
+      if (m_Nodes[I] && metric(I, "ragwortdrift_log_leads") == 1)
+        return I;
+    return std::nullopt;
+  }
 
   asio::io_context m_Io;
   std::size_t m_Founders;
@@ -164,8 +173,10 @@
 /// The control state of an entry VM, with all that it told its traffic thread.
 struct Entry {
   explicit Entry(Fleet &Subject, const char *Name = "entry")
-      : m_Control(Subject.m_Io, settings(Subject, Name), lineFormat(),
-                  &readVersion, updates()) {
+      : Entry(Subject, settings(Subject, Name)) {}
+  Entry(Fleet &Subject, const FleetSettings &Settings)
+      : m_Control(Subject.m_Io, Settings, lineFormat(), &readVersion,
+                  updates()) {
     m_Control.start();
   }
   static FleetSettings settings(const Fleet &Subject, const char *Name) {
@@ -355,6 +366,68 @@
                std::chrono::nanoseconds(3s).count());
 }
 
+// Guards against an entry VM that reads the list for itself because it watches
+// every core VM but the leader.
+Test(fleet, passes_the_list_on_through_every_core_vm) {
+  Fleet F(3, 3);
+  F.startFounders();
+  F.submitUntilClear(0, Fleet::config(1));
+  for (std::size_t I = 3; I < 6; ++I)
+    F.start(I, false);
+  cr_assert(F.runUntil([&] { return F.voters(0) == 5; }));
+  const auto Leader = F.leader();
+  cr_assert(Leader.has_value());
+  FleetSettings Settings = Entry::settings(F, "entry");
+  // The list's server cannot be reached from here.
+  Settings.m_LeafList = testing::freeEndpoint(F.m_Io);
+  Settings.m_Cores.clear();
+  for (std::size_t I = 0; I < 6; ++I)
+    if (I != *Leader)
+      Settings.m_Cores.push_back(F.m_Peers[I]);
+  Entry Watching(F, Settings);
+  cr_assert(F.runUntil([&] { return !Watching.m_Lists.empty(); }));
+  F.m_ListPages["/"] = " a,b,c";
+  cr_assert(
+      F.runUntil([&] { return Watching.m_Lists.back().size() == 3; }, 3s));
+}
+
+// Guards against content that each core VM sends to every entry VM, and against
+// one that is missing when the core VM that sends it falls silent.
+Test(fleet, takes_content_from_one_core_vm) {
+  Fleet F(3);
+  F.startFounders();
+  F.submitUntilClear(0, Fleet::config(1));
+  Entry Watching(F);
+  cr_assert(F.runUntil([&] {
+    return !Watching.m_Versions.empty() && !Watching.m_Lists.empty();
+  }));
+  F.runUntil([] { return false; }, 700ms);
+  const auto Sent = [&] {
+    double Sum = 0;
+    for (std::size_t I = 0; I < 3; ++I)
+      Sum += F.m_Nodes[I] ? F.metric(I, "ragwortdrift_states_sent") : 0;
+    return Sum;
+  };
+  const double Before = Sent();
+  for (std::uint64_t Version = 2; Version <= 5; ++Version) {
+    F.submitUntilClear(0, Fleet::config(Version));
+    cr_assert(
+        F.runUntil([&] { return Watching.m_Versions.back() == Version; }));
+  }
+  // One for each version; a change of the source may repeat one.
+  cr_assert_geq(Sent() - Before, 4);
+  cr_assert_leq(Sent() - Before, 6);
+  for (std::size_t I = 0; I < 3; ++I) {
+    const std::uint64_t Version = 6 + I;
+    F.m_Nodes[I].reset();
+    F.submitUntilClear((I + 1) % 3, Fleet::config(Version));
+    cr_assert(
+        F.runUntil([&] { return Watching.m_Versions.back() == Version; }));
+    F.start(I, false);
+    cr_assert(F.runUntil([&] { return isOk(F.read(I)); }));
+  }
+}
+
 // Guards against entry VMs that all take the share of a single one when the
 // whole fleet restarts.
 Test(fleet, remembers_the_number_of_entry_vms) {
