Read the list of leafs less often where the core cannot be reached

Change: a VM that starts reads the list itself only 150 ms after its first state, since it serves nothing before that; own reads each four seconds. Ruled out: the rule about leaving leafs binds only VMs in touch with the core, which get the list from it.

--- a/src/ragwortdrift/fleet/entry_control.cpp
+++ b/src/ragwortdrift/fleet/entry_control.cpp
@@ -18,7 +18,8 @@
 /// How late the silence of the list is noticed beyond ListSilence.
 constexpr std::chrono::milliseconds ListCheckInterval{500};
 /// An entry VM that has just started reads the list itself if no core VM has
-/// sent it within this.
+/// sent it within this after the first state. A new leader reads the list as
+/// soon as it sends states.
 constexpr std::chrono::milliseconds FirstListWait{150};
 /// A core VM that has newer content than this VM holds sends it after this. Its
 /// usual source has it within a heartbeat of the replicated log, 75 ms.
@@ -26,8 +27,9 @@
 /// Without news of the list for this long an entry VM reads it itself. Core
 /// VMs report every 500 ms, and elect a new leader within a second.
 constexpr std::chrono::milliseconds ListSilence{2500};
-/// As often as a leader reads the list.
-constexpr std::chrono::milliseconds OwnListInterval{1000};
+/// Leafs that are gone show on their connections at once, so the list is read
+/// only for new ones and for those about to leave, which serve on for seconds.
+constexpr std::chrono::milliseconds OwnListInterval{4000};
 /// Share of the list's rate for all entry VMs that read it themselves; the
 /// regular reader has the rest.
 constexpr double OwnListRateShare = 0.5;
@@ -49,10 +51,6 @@
   m_ListConfirmedAt = m_Timers.now();
   m_ListAskedAt = m_Timers.now();
   setCores(m_Settings.m_Cores);
-  m_FirstListTimer = m_Timers.after(FirstListWait, [this] {
-    if (!m_HasList)
-      readList();
-  });
   m_Periodic.push_back(
       m_Timers.every(ListCheckInterval, [this] { checkList(); }));
 }
@@ -229,6 +227,11 @@
                              const RoutingState &State) {
   if (State.m_Revision <= m_Revision)
     return;
+  if (m_Revision == 0)
+    m_FirstListTimer = m_Timers.after(FirstListWait, [this] {
+      if (!m_HasList)
+        readList();
+    });
   m_Revision = State.m_Revision;
   takeEntryCount(State.m_EntryCount);
   m_Updates.m_DomainsOut(State.m_DomainsOut);
