Share between entry VMs what they observe of leafs

Cause: an entry VM of the grown sites sends one or two requests a second to a leaf. Each of them learned by itself that a leaf was slow, refused or was dark, and forgot it in three seconds; request.repeated lines of all VMs named the same leafs for the whole spell. Change: entry VMs tell their core VM each 250 ms how their tries ended; core VMs add up what all of them say (half-life 500 ms), pass it on to each other and name the leafs that are slow or fail to their watchers. The choice of leafs takes the worse of the own and the common estimate, which fades too. A late try that is given up counts with the time waited. Tests: leaf_digest/*, dispatch/avoids_what_is_bad_for_all_vms, dispatch/notes_how_tries_ended, fleet/shares_what_entry_vms_observe.

--- a/include/ragwortdrift/dispatch/dispatcher.hpp
+++ b/include/ragwortdrift/dispatch/dispatcher.hpp
@@ -3,6 +3,7 @@
 
 #include "ragwortdrift/base/log.hpp"
 #include "ragwortdrift/base/metrics.hpp"
+#include "ragwortdrift/dispatch/leaf_observation.hpp"
 #include "ragwortdrift/dispatch/leaf_pool.hpp"
 #include "ragwortdrift/dispatch/leaf_protocol.hpp"
 #include "ragwortdrift/dispatch/leaf_share.hpp"
@@ -60,6 +61,10 @@
   /// How many entry VMs share the budgets of repeats and the leafs'
   /// connections.
   void setEntryCount(std::size_t Count);
+  /// Takes what all entry VMs together know of leafs that are slow or fail.
+  void setEstimates(const std::vector<LeafEstimate> &Estimates);
+  /// What was observed of leafs since the last call.
+  std::vector<LeafObservation> takeObservations();
   /// What this VM may use of a service's leafs.
   LeafShare share(const RoutedService &Service) const;
   /// Whether this VM uses a leaf regularly.
@@ -99,6 +104,9 @@
   /// amount that it earns in one window.
   double burst() const;
   void limitUse();
+  /// Notes how a try ended, for this VM and for the others.
+  void observeAnswer(LeafView &Leaf, double RelativeLatency);
+  void observeFailure(LeafView &Leaf);
   /// Notes whether a leaf could be reached at all.
   void onReached(const LeafView &Leaf);
   void onUnreached(const LeafView &Leaf);
@@ -119,6 +127,7 @@
   std::map<ServiceName, Budget> m_Budgets;
   std::map<std::string, RouteStats> m_Stats;
   std::map<LeafId, TimerService::Subscription> m_Probes;
+  std::map<LeafId, LeafObservation> m_Observed;
   std::size_t m_EntryCount = 1;
   std::size_t m_InFlight = 0;
   /// Of leafs in other failure domains.
--- a/include/ragwortdrift/dispatch/leaf_view.hpp
+++ b/include/ragwortdrift/dispatch/leaf_view.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -46,19 +47,27 @@
   /// The try has been open for longer than answers usually take.
   void onOverdue() { ++m_Overdue; }
   void onEnded(bool WasOverdue);
-  /// Latency is that of an answer divided by the median of its route.
-  void onAnswer(TimePoint Now, double RelativeLatency);
+  /// Latency is that of an answer divided by the median of its route. Returns
+  /// what counts of it, since single answers are bounded.
+  double onAnswer(TimePoint Now, double RelativeLatency);
   void onFailure(TimePoint Now);
   /// A try got no answer until it was given up.
   void onSilence(TimePoint Now);
   /// Requests waiting for each slot, from the leaf's own report.
   void onQueue(double WaitingPerSlot) { m_Queue = WaitingPerSlot; }
 
+  /// What all entry VMs together know of the leaf. True when nothing of that
+  /// kind was known before.
+  bool setEstimate(TimePoint Now, double Slowness, double Failures);
+
   /// Expected cost of sending the next request; the lowest is best.
   double cost(TimePoint Now, const FailureDomain &Own) const;
 
 private:
-  double faded(TimePoint Now, double Value, double Neutral) const;
+  /// Mean relative latency and share of failures now, by what this VM and all
+  /// VMs together know, whichever is worse.
+  double slowness(TimePoint Now) const;
+  double failures(TimePoint Now) const;
   void settle(TimePoint Now);
 
   ListedLeaf m_Listed;
@@ -74,6 +83,10 @@
   double m_Failures = 0;
   double m_Queue = 0;
   TimePoint m_HeardAt;
+  /// The same as all entry VMs together know it; fades too.
+  double m_CommonSlowness = 1;
+  double m_CommonFailures = 0;
+  std::optional<TimePoint> m_CommonAt;
 };
 
 /// The leafs of all services as one entry VM sees them.
--- a/include/ragwortdrift/dispatch/request_run.hpp
+++ b/include/ragwortdrift/dispatch/request_run.hpp
@@ -97,6 +97,8 @@
                  Result<HttpResponse, HttpError> &Outcome);
   TryOutcome classify(const Result<HttpResponse, HttpError> &Outcome) const;
   void observe(Try &Ended, const Result<HttpResponse, HttpError> &Outcome);
+  /// Latency in medians of the route's leaf latency.
+  double relativeLatency(Duration Latency) const;
   void continuePart(std::size_t PartIndex);
   void abandon(Try &Attempt);
 
--- a/include/ragwortdrift/fleet/core_node.hpp
+++ b/include/ragwortdrift/fleet/core_node.hpp
@@ -5,6 +5,7 @@
 #include "ragwortdrift/base/metrics.hpp"
 #include "ragwortdrift/consensus/replicated_log.hpp"
 #include "ragwortdrift/fleet/fleet_settings.hpp"
+#include "ragwortdrift/fleet/leaf_digest.hpp"
 #include "ragwortdrift/fleet/leaf_list_reader.hpp"
 #include "ragwortdrift/fleet/messages.hpp"
 #include "ragwortdrift/net/peer_client.hpp"
@@ -84,6 +85,7 @@
 
   // Watchers.
   void onWatch(const PeerRequest &Request, const Stream &Out);
+  CoreReport currentReport();
   void report(Watcher &To);
   void reportAll();
   /// Reports once for all entries that are applied together.
@@ -101,6 +103,12 @@
   void followLeafs();
   bool listIsFresh() const;
 
+  // What entry VMs observe of leafs.
+  void onObserved(const PeerRequest &In);
+  /// Passes new observations on to the other core VMs, and tells watchers which
+  /// leafs are slow or fail.
+  void shareObservations();
+
   boost::asio::io_context &m_Io;
   FleetSettings m_Settings;
   std::string m_Address;
@@ -134,6 +142,11 @@
   /// The leader whose list this VM follows.
   std::string m_ListSource;
   PeerCall m_ListWatch;
+  LeafDigest m_Digest;
+  /// Observations of entry VMs that the other core VMs do not know yet.
+  std::map<LeafId, LeafObservation> m_NewObservations;
+  /// Leafs in the last estimates that watchers got.
+  std::size_t m_EstimatesSent = 0;
   MetricsRegistry m_Metrics;
   std::vector<TimerService::Subscription> m_Periodic;
   TimerService::Subscription m_ListTimer;
--- a/include/ragwortdrift/fleet/entry_control.hpp
+++ b/include/ragwortdrift/fleet/entry_control.hpp
@@ -21,6 +21,7 @@
   std::function<void(std::shared_ptr<const RouteTable>)> m_Routes;
   std::function<void(std::set<FailureDomain>)> m_DomainsOut;
   std::function<void(LeafList)> m_Leafs;
+  std::function<void(std::vector<LeafEstimate>)> m_Estimates;
   std::function<void(std::size_t)> m_EntryCount;
 };
 
@@ -41,6 +42,8 @@
   void start();
   /// Other core VMs to watch.
   void setCores(const std::vector<Endpoint> &Cores);
+  /// Tells the core what this VM observed of leafs.
+  void tellObservations(std::vector<LeafObservation> Observed);
 
 private:
   struct Watch {
--- a/include/ragwortdrift/fleet/entry_traffic.hpp
+++ b/include/ragwortdrift/fleet/entry_traffic.hpp
@@ -23,6 +23,9 @@
   void setDomainsOut(const std::set<FailureDomain> &Out);
   void setLeafs(const LeafList &List);
   void setEntryCount(std::size_t Count);
+  void setEstimates(const std::vector<LeafEstimate> &Estimates);
+  /// Calls back periodically with what was observed of leafs since.
+  void onObserved(std::function<void(std::vector<LeafObservation>)> Fn);
 
   /// Stops without cutting a request: readiness fails first, answers announce
   /// the close of their connections, then nothing new is accepted. Calls back
--- a/include/ragwortdrift/fleet/messages.hpp
+++ b/include/ragwortdrift/fleet/messages.hpp
@@ -4,6 +4,7 @@
 #include "ragwortdrift/consensus/errors.hpp"
 #include "ragwortdrift/consensus/raft_types.hpp"
 #include "ragwortdrift/dispatch/leaf_list.hpp"
+#include "ragwortdrift/dispatch/leaf_observation.hpp"
 #include "ragwortdrift/routing/routing_state.hpp"
 
 #include <optional>
@@ -51,6 +52,8 @@
   std::optional<RoutingState> m_State;
   /// The list of leafs, when it is newer than what was sent before.
   std::optional<LeafList> m_Leafs;
+  /// Leafs that are slow or fail, when that is known; all others are not.
+  std::optional<std::vector<LeafEstimate>> m_Estimates;
   /// Revision of the operators' state that this VM has applied; 0 while it may
   /// be an old one.
   std::uint64_t m_Revision = 0;
@@ -62,8 +65,18 @@
   /// Entry VMs that were seen recently.
   std::uint32_t m_EntryCount = 0;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(m_Domain, m_State, m_Leafs, m_Revision, m_List, m_ListAge, m_Cores,
-       m_EntryCount);
+    Ar(m_Domain, m_State, m_Leafs, m_Estimates, m_Revision, m_List, m_ListAge,
+       m_Cores, m_EntryCount);
+  }
+};
+
+/// Tells a core VM what was observed of leafs since the message before.
+struct ObservationReport {
+  /// Whether a core VM passes it on, which no other one does again.
+  bool m_FromCore = false;
+  std::vector<LeafObservation> m_Leafs;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_FromCore, m_Leafs);
   }
 };
 
--- a/src/ragwortdrift/dispatch/dispatcher.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher.cpp
@@ -107,6 +107,33 @@
     verify(View, "domain back in");
 }
 
+void Dispatcher::setEstimates(const std::vector<LeafEstimate> &Estimates) {
+  const TimePoint Now = m_Timers.now();
+  for (const LeafEstimate &Item : Estimates) {
+    const auto View = m_Leafs.find(Item.m_Leaf);
+    if (View && View->setEstimate(Now, Item.m_Slowness, Item.m_FailureShare))
+      m_Log.write(Now, "leaf.estimated",
+                  {{"leaf", Item.m_Leaf},
+                   {"slowness", Item.m_Slowness},
+                   {"failure_share", Item.m_FailureShare}});
+  }
+}
+
+std::vector<LeafObservation> Dispatcher::takeObservations() {
+  return drainObservations(m_Observed);
+}
+
+void Dispatcher::observeAnswer(LeafView &Leaf, double RelativeLatency) {
+  const double Slowness = Leaf.onAnswer(m_Timers.now(), RelativeLatency);
+  mergeObservations(m_Observed,
+                    {{Leaf.listed().m_Id, 1, 0, static_cast<float>(Slowness)}});
+}
+
+void Dispatcher::observeFailure(LeafView &Leaf) {
+  Leaf.onFailure(m_Timers.now());
+  mergeObservations(m_Observed, {{Leaf.listed().m_Id, 1, 1, 0}});
+}
+
 void Dispatcher::setEntryCount(std::size_t Count) {
   m_EntryCount = std::max<std::size_t>(Count, 1);
   for (auto &[Service, Item] : m_Budgets)
--- a/src/ragwortdrift/dispatch/dispatcher_test.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher_test.cpp
@@ -101,6 +101,26 @@
     {"long after the start", 10min, 2},
 };
 
+struct EstimateCase {
+  const char *m_Name;
+  std::vector<LeafEstimate> m_Estimates;
+  Duration m_Age;
+  bool m_IsAvoided;
+};
+const EstimateCase EstimateCases[] = {
+    {"nothing known", {}, 0ms, false},
+    {"slow for others", {{LeafId{"one-1"}, 8, 0}}, 0ms, true},
+    {"fails for others", {{LeafId{"one-1"}, 1, 0.5}}, 0ms, true},
+    {"slow some time ago", {{LeafId{"one-1"}, 8, 0}}, 15s, false},
+    {"not on the list", {{LeafId{"gone"}, 8, 1}}, 0ms, false},
+    {"all are slow",
+     {{LeafId{"one-1"}, 8, 0},
+      {LeafId{"one-2"}, 8, 0},
+      {LeafId{"one-3"}, 8, 0}},
+     0ms,
+     false},
+};
+
 struct IsolationCase {
   const char *m_Name;
   /// Whether the VM's own domain has a leaf of each shard.
@@ -333,6 +353,51 @@
                Row.m_Repeats, "%s", Row.m_Name);
 }
 
+// Guards against a VM that has to find out by itself what others know of a
+// leaf, and against a leaf that is avoided for ever.
+TABLE_TEST(dispatch, avoids_what_is_bad_for_all_vms, EstimateCases) {
+  DispatchFixture F;
+  F.m_Dispatcher.setEstimates(Row.m_Estimates);
+  F.pass(Row.m_Age);
+  F.ask("/r/");
+  const SendId Sent = F.m_Transport.openTo("one").front();
+  // The leaf of the own domain is the first choice.
+  const bool IsFirst =
+      F.m_Transport.m_Open.at(Sent).m_Leaf.m_Id.m_Value == "one-1";
+  cr_assert_eq(IsFirst, !Row.m_IsAvoided, "%s", Row.m_Name);
+}
+
+// Guards against observations that the other VMs do not get: slow answers that
+// nobody waits for any more, and failures of any kind.
+Test(dispatch, notes_how_tries_ended) {
+  DispatchFixture F;
+  F.warmUp("/s/");
+  F.m_Dispatcher.takeObservations();
+  F.ask("/s/");
+  const SendId Slow = F.m_Transport.openTo("s4").front();
+  const std::string SlowLeaf =
+      F.m_Transport.m_Open.at(Slow).m_Leaf.m_Id.m_Value;
+  const SendId Failing = F.m_Transport.openTo("s3").front();
+  const std::string FailingLeaf =
+      F.m_Transport.m_Open.at(Failing).m_Leaf.m_Id.m_Value;
+  F.m_Transport.end(Failing, F.refusal());
+  for (const char *Shard : {"s1", "s2", "s3"})
+    F.answerOldest(Shard);
+  // The hedge answers; the first try is given up some time later.
+  F.pass(40ms);
+  const SendId Hedge = F.m_Transport.openTo("s4").back();
+  cr_assert_neq(Hedge, Slow);
+  F.m_Transport.end(Hedge, F.answerOf(Hedge));
+  F.pass(200ms);
+  std::map<std::string, LeafObservation> Seen;
+  for (const LeafObservation &Item : F.m_Dispatcher.takeObservations())
+    Seen[Item.m_Leaf.m_Value] = Item;
+  cr_assert_eq(Seen[FailingLeaf].m_Failures, 1U);
+  cr_assert_eq(Seen[SlowLeaf].m_Tries, 1U);
+  cr_assert_geq(Seen[SlowLeaf].m_SlownessSum, 10);
+  cr_assert(F.m_Dispatcher.takeObservations().empty());
+}
+
 // Guards against a search that is worth little because one shard is late, and
 // against a false count of the shards that are missing.
 Test(dispatch, answers_near_the_objective_without_a_late_shard) {
--- /dev/null
+++ b/src/ragwortdrift/dispatch/leaf_observation.cpp
@@ -0,0 +1,26 @@
+#include "ragwortdrift/dispatch/leaf_observation.hpp"
+
+namespace ragwortdrift {
+
+void mergeObservations(std::map<LeafId, LeafObservation> &Sum,
+                       const std::vector<LeafObservation> &Observed) {
+  for (const LeafObservation &Item : Observed) {
+    LeafObservation &Known = Sum[Item.m_Leaf];
+    Known.m_Leaf = Item.m_Leaf;
+    Known.m_Tries += Item.m_Tries;
+    Known.m_Failures += Item.m_Failures;
+    Known.m_SlownessSum += Item.m_SlownessSum;
+  }
+}
+
+std::vector<LeafObservation>
+drainObservations(std::map<LeafId, LeafObservation> &Sum) {
+  std::vector<LeafObservation> Out;
+  Out.reserve(Sum.size());
+  for (auto &[Id, Item] : Sum)
+    Out.push_back(std::move(Item));
+  Sum.clear();
+  return Out;
+}
+
+} // namespace ragwortdrift
--- a/src/ragwortdrift/dispatch/leaf_view.cpp
+++ b/src/ragwortdrift/dispatch/leaf_view.cpp
@@ -36,6 +36,12 @@
 /// Leafs whose costs differ by less are equally good.
 constexpr double EqualCost = 0.15;
 
+/// Value after it has faded towards Neutral for Age.
+double faded(double Value, double Neutral, Duration Age) {
+  return Neutral +
+         (Value - Neutral) * std::exp(-toMillis(Age) / 1000 / FadeSeconds);
+}
+
 } // namespace
 
 LeafBar LeafView::bar(TimePoint Now) const {
@@ -69,22 +75,41 @@
     --m_Overdue;
 }
 
-double LeafView::faded(TimePoint Now, double Value, double Neutral) const {
-  const double Age = toMillis(Now - m_HeardAt) / 1000;
-  return Neutral + (Value - Neutral) * std::exp(-Age / FadeSeconds);
+double LeafView::slowness(TimePoint Now) const {
+  const double Own = faded(m_Slowness, 1, Now - m_HeardAt);
+  return m_CommonAt
+             ? std::max(Own, faded(m_CommonSlowness, 1, Now - *m_CommonAt))
+             : Own;
+}
+
+double LeafView::failures(TimePoint Now) const {
+  const double Own = faded(m_Failures, 0, Now - m_HeardAt);
+  return m_CommonAt
+             ? std::max(Own, faded(m_CommonFailures, 0, Now - *m_CommonAt))
+             : Own;
 }
 
 void LeafView::settle(TimePoint Now) {
-  m_Slowness = faded(Now, m_Slowness, 1);
-  m_Failures = faded(Now, m_Failures, 0);
+  m_Slowness = faded(m_Slowness, 1, Now - m_HeardAt);
+  m_Failures = faded(m_Failures, 0, Now - m_HeardAt);
   m_HeardAt = Now;
 }
 
-void LeafView::onAnswer(TimePoint Now, double RelativeLatency) {
+bool LeafView::setEstimate(TimePoint Now, double Slowness, double Failures) {
+  const bool IsNews =
+      !m_CommonAt || Now - *m_CommonAt > std::chrono::seconds(1);
+  m_CommonSlowness = std::min(Slowness, MaxSlowness);
+  m_CommonFailures = Failures;
+  m_CommonAt = Now;
+  return IsNews;
+}
+
+double LeafView::onAnswer(TimePoint Now, double RelativeLatency) {
   settle(Now);
-  m_Slowness +=
-      NewestWeight * (std::min(RelativeLatency, MaxSlowness) - m_Slowness);
+  const double Bounded = std::min(RelativeLatency, MaxSlowness);
+  m_Slowness += NewestWeight * (Bounded - m_Slowness);
   m_Failures -= NewestWeight * m_Failures;
+  return Bounded;
 }
 
 void LeafView::onFailure(TimePoint Now) {
@@ -98,9 +123,8 @@
 }
 
 double LeafView::cost(TimePoint Now, const FailureDomain &Own) const {
-  return faded(Now, m_Slowness, 1) * (1 + m_Open) +
-         FailureCost * faded(Now, m_Failures, 0) + QueueCost * m_Queue +
-         (m_Overdue > 0 ? OverdueCost : 0) +
+  return slowness(Now) * (1 + m_Open) + FailureCost * failures(Now) +
+         QueueCost * m_Queue + (m_Overdue > 0 ? OverdueCost : 0) +
          (m_Listed.m_Domain == Own ? 0 : OtherDomainCost);
 }
 
--- a/src/ragwortdrift/dispatch/request_run.cpp
+++ b/src/ragwortdrift/dispatch/request_run.cpp
@@ -272,17 +272,16 @@
   switch (Ended.m_Outcome) {
   case TryOutcome::Answered: {
     Stats.m_Latency.record(Now, Latency);
-    const auto Median = Stats.m_Latency.quantile(Now, 0.5);
-    Leaf.onAnswer(Now, Median ? toMillis(Latency) / toMillis(*Median) : 1);
+    m_Owner.observeAnswer(Leaf, relativeLatency(Latency));
     break;
   }
   case TryOutcome::Refused:
-    Leaf.onFailure(Now);
     if (isOk(Outcome) && valueOf(Outcome).result_int() == 421)
       m_Owner.verify(Ended.m_Leaf, "another leaf answered");
+    m_Owner.observeFailure(Leaf);
     break;
   case TryOutcome::Unsent:
-    Leaf.onFailure(Now);
+    m_Owner.observeFailure(Leaf);
     if (!isOk(Outcome) &&
         errorOf(Outcome).m_Code == HttpErrorCode::ConnectFailed) {
       m_Owner.onUnreached(*Ended.m_Leaf);
@@ -290,10 +289,16 @@
     }
     break;
   default:
-    Leaf.onFailure(Now);
+    m_Owner.observeFailure(Leaf);
   }
 }
 
+double RequestRun::relativeLatency(Duration Latency) const {
+  const auto Median =
+      m_Owner.stats(m_Route).m_Latency.quantile(timers().now(), 0.5);
+  return Median ? toMillis(Latency) / toMillis(*Median) : 1;
+}
+
 void RequestRun::onOutcome(std::size_t PartIndex, std::size_t TryIndex,
                            Result<HttpResponse, HttpError> &Outcome) {
   Part &CurrentPart = m_Parts[PartIndex];
@@ -327,7 +332,10 @@
   Attempt.m_Outcome = TryOutcome::Abandoned;
   Attempt.m_EndedAt = timers().now();
   Attempt.m_Leaf->onEnded(Attempt.m_Overdue);
-  if (Attempt.m_EndedAt - Attempt.m_SentAt < SilenceTime)
+  const Duration Waited = Attempt.m_EndedAt - Attempt.m_SentAt;
+  if (Attempt.m_Overdue)
+    m_Owner.observeAnswer(*Attempt.m_Leaf, relativeLatency(Waited));
+  if (Waited < SilenceTime)
     return;
   Attempt.m_Leaf->onSilence(Attempt.m_EndedAt);
   m_Owner.onUnreached(*Attempt.m_Leaf);
--- a/src/ragwortdrift/fleet/core_members.cpp
+++ b/src/ragwortdrift/fleet/core_members.cpp
@@ -190,28 +190,33 @@
   report(Added);
 }
 
-void CoreNode::report(Watcher &To) {
-  if (To.m_Kind != WatchKind::ListForCore)
-    m_Entries[To.m_Vm] = m_Timers.now();
+CoreReport CoreNode::currentReport() {
   CoreReport Out;
   Out.m_Domain = m_Settings.m_Domain;
   Out.m_Revision = serves() ? m_State.m_Revision : 0;
-  if (To.m_Kind == WatchKind::Content && Out.m_Revision > To.m_SentRevision) {
-    Out.m_State = m_State;
-    ++m_StatesSent;
-    To.m_SentRevision = m_State.m_Revision;
-  }
   if (listIsFresh()) {
     Out.m_List = m_ListStamp;
     Out.m_ListAge = m_Timers.now() - *m_ListReadAt;
-    if (To.m_Kind != WatchKind::Stamps && m_ListStamp > To.m_SentList) {
-      Out.m_Leafs = m_Leafs;
-      To.m_SentList = m_ListStamp;
-    }
   }
   Out.m_Cores = knownCores();
   Out.m_Cores.push_back(m_Address);
   Out.m_EntryCount = entryCount();
+  return Out;
+}
+
+void CoreNode::report(Watcher &To) {
+  if (To.m_Kind != WatchKind::ListForCore)
+    m_Entries[To.m_Vm] = m_Timers.now();
+  CoreReport Out = currentReport();
+  if (To.m_Kind == WatchKind::Content && Out.m_Revision > To.m_SentRevision) {
+    Out.m_State = m_State;
+    ++m_StatesSent;
+    To.m_SentRevision = m_State.m_Revision;
+  }
+  if (To.m_Kind != WatchKind::Stamps && Out.m_List > To.m_SentList) {
+    Out.m_Leafs = m_Leafs;
+    To.m_SentList = m_ListStamp;
+  }
   const auto Stream = To.m_Stream;
   Stream->send(encode(Out));
 }
--- a/src/ragwortdrift/fleet/core_node.cpp
+++ b/src/ragwortdrift/fleet/core_node.cpp
@@ -27,6 +27,8 @@
 /// Watchers hear of their core VM at least this often. Without news of the list
 /// of leafs for five of these an entry VM reads it itself.
 constexpr std::chrono::milliseconds ReportInterval{500};
+/// How often observations of leafs are passed on. A leaf is slow for seconds.
+constexpr std::chrono::milliseconds ObservationPeriod{250};
 /// Orders may hold whole configurations; a snapshot this often bounds the log
 /// on small disks.
 constexpr LogIndex SnapshotEntries = 100;
@@ -66,6 +68,8 @@
   m_Periodic.push_back(
       m_Timers.every(MembershipInterval, [this] { checkMembership(); }));
   m_Periodic.push_back(m_Timers.every(ReportInterval, [this] { reportAll(); }));
+  m_Periodic.push_back(
+      m_Timers.every(ObservationPeriod, [this] { shareObservations(); }));
   m_ListTimer = m_Timers.after(Duration{0}, [this] { updateLeafs(); });
   return Done{};
 }
@@ -229,6 +233,11 @@
                         else
                           refuseMessage(In, Out);
                       });
+  m_PeerServer.handle("/observed",
+                      [this](const PeerRequest &In, const Stream &Out) {
+                        onObserved(In);
+                        Out->finish();
+                      });
   m_PeerServer.handle(
       "/watch",
       [this](const PeerRequest &In, const Stream &Out) { onWatch(In, Out); });
--- a/src/ragwortdrift/fleet/entry_control.cpp
+++ b/src/ragwortdrift/fleet/entry_control.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t MaxWatches = 5;
 /// A core VM that restarts is back within a second.
 constexpr std::chrono::milliseconds WatchRetry{250};
+/// Observations of leafs that are older are of no use.
+constexpr std::chrono::milliseconds ObservationTimeout{500};
 /// A watch is opened anew after this, since a call needs a deadline.
 constexpr std::chrono::hours WatchTime{1};
 /// How late the silence of the list is noticed beyond ListSilence.
@@ -61,6 +63,18 @@
   watchMore();
 }
 
+void EntryControl::tellObservations(std::vector<LeafObservation> Observed) {
+  const auto To = parseEndpoint(m_Source);
+  if (!To)
+    return;
+  auto Call = std::make_shared<PeerCall>();
+  *Call = m_PeerClient.open(
+      To->m_Ip, To->m_Port, "/observed",
+      encode(ObservationReport{false, std::move(Observed)}), ObservationTimeout,
+      [](const std::string &) {},
+      [Call](const Result<Done, PeerError> &) mutable { Call.reset(); });
+}
+
 void EntryControl::watchMore() {
   for (const std::string &Core : m_Cores) {
     if (m_Watches.contains(Core))
@@ -148,6 +162,8 @@
     m_ListStamp = Report.m_List;
     m_Updates.m_Leafs(std::move(*Report.m_Leafs));
   }
+  if (Report.m_Estimates)
+    m_Updates.m_Estimates(std::move(*Report.m_Estimates));
   if (Report.m_ListAge && Report.m_List == m_ListStamp)
     m_ListConfirmedAt =
         std::max(m_ListConfirmedAt, m_Timers.now() - *Report.m_ListAge);
--- a/src/ragwortdrift/fleet/entry_traffic.cpp
+++ b/src/ragwortdrift/fleet/entry_traffic.cpp
@@ -13,6 +13,8 @@
 constexpr std::chrono::milliseconds IdleCheckInterval{300};
 /// Below the time after which a VM counts as isolated.
 constexpr std::chrono::milliseconds IsolationCheckInterval{200};
+/// How often observations of leafs are told. A leaf is slow for seconds.
+constexpr std::chrono::milliseconds ObservationPeriod{250};
 /// Period of the metrics' quantiles and of the count of lines left out.
 constexpr std::chrono::seconds MetricsPeriod{1};
 /// Callers' connections of one VM; half of the descriptors that it may have.
@@ -129,6 +131,19 @@
   updateShares();
 }
 
+void EntryTraffic::setEstimates(const std::vector<LeafEstimate> &Estimates) {
+  m_Dispatcher.setEstimates(Estimates);
+}
+
+void EntryTraffic::onObserved(
+    std::function<void(std::vector<LeafObservation>)> Fn) {
+  m_Periodic.push_back(
+      m_Timers.every(ObservationPeriod, [this, Fn = std::move(Fn)] {
+        if (auto Observed = m_Dispatcher.takeObservations(); !Observed.empty())
+          Fn(std::move(Observed));
+      }));
+}
+
 void EntryTraffic::updateShares() {
   if (!m_Routes)
     return;
--- a/src/ragwortdrift/fleet/fleet_test.cpp
+++ b/src/ragwortdrift/fleet/fleet_test.cpp
@@ -193,6 +193,9 @@
       m_DomainsOut = std::move(Domains);
     };
     Out.m_Leafs = [this](const LeafList &List) { m_Lists.push_back(List); };
+    Out.m_Estimates = [this](std::vector<LeafEstimate> Estimates) {
+      m_Estimates = std::move(Estimates);
+    };
     Out.m_EntryCount = [this](std::size_t Count) { m_EntryCount = Count; };
     return Out;
   }
@@ -201,6 +204,7 @@
   std::set<FailureDomain> m_DomainsOut;
   std::size_t m_EntryCount = 0;
   std::vector<LeafList> m_Lists;
+  std::vector<LeafEstimate> m_Estimates;
   EntryControl m_Control;
 };
 
@@ -428,6 +432,31 @@
   }
 }
 
+// Guards against a leaf that each entry VM finds slow for itself: what one VM
+// tells its core VM reaches the VMs that take their content from another one.
+Test(fleet, shares_what_entry_vms_observe) {
+  Fleet F(3);
+  F.startFounders();
+  F.submitUntilClear(0, Fleet::config(1));
+  // Each takes its content from the only core VM that it knows at first.
+  std::vector<std::unique_ptr<Entry>> Entries;
+  for (std::size_t I = 0; I < 3; ++I) {
+    FleetSettings Settings =
+        Entry::settings(F, ("entry-" + std::to_string(I)).c_str());
+    Settings.m_Cores = {F.m_Peers[I]};
+    Entries.push_back(std::make_unique<Entry>(F, Settings));
+    cr_assert(F.runUntil([&] { return !Entries[I]->m_Lists.empty(); }));
+  }
+  for (int Told = 0; Told < 3; ++Told)
+    Entries[0]->m_Control.tellObservations({{LeafId{"a"}, 9, 0, 90}});
+  cr_assert(F.runUntil([&] {
+    return std::all_of(Entries.begin(), Entries.end(), [](const auto &Item) {
+      return Item->m_Estimates.size() == 1 &&
+             Item->m_Estimates[0].m_Slowness == 10;
+    });
+  }));
+}
+
 // Guards against entry VMs that all take the share of a single one when the
 // whole fleet restarts.
 Test(fleet, remembers_the_number_of_entry_vms) {
