Do not take or tell the state of a core VM that lost its vote

Change: a core VM that hears from another one of a leader it does not hear itself tells no state until it has caught up. The choice of the source is a function of its own; a nearer core VM must not be behind the source, and in the first two seconds an entry VM does not wait for a source that is behind. Ruled out: the replicated log; the acknowledged version was on a majority.

--- a/include/ragwortdrift/fleet/core_node.hpp
+++ b/include/ragwortdrift/fleet/core_node.hpp
@@ -91,8 +91,9 @@
   /// Reports once for all entries that are applied together.
   void reportSoon();
   /// Whether the state applied here was up to date at some time since the log
-  /// was opened. Until then the log is replayed, and older states must not
-  /// reach a VM that has just started.
+  /// was opened, and no other VM was heard to follow a leader since that does
+  /// not reach this one. Older states must not reach a VM that has just
+  /// started.
   bool serves();
   std::uint32_t entryCount();
 
--- a/include/ragwortdrift/fleet/entry_control.hpp
+++ b/include/ragwortdrift/fleet/entry_control.hpp
@@ -2,6 +2,7 @@
 #define RAGWORTDRIFT_FLEET_ENTRY_CONTROL_HPP
 
 #include "ragwortdrift/base/asio_timer_driver.hpp"
+#include "ragwortdrift/fleet/content_source.hpp"
 #include "ragwortdrift/fleet/fleet_settings.hpp"
 #include "ragwortdrift/fleet/leaf_list_reader.hpp"
 #include "ragwortdrift/fleet/messages.hpp"
@@ -50,9 +51,7 @@
     PeerCall m_Call;
     TimerService::Subscription m_Retry;
     bool m_Connected = false;
-    FailureDomain m_Domain;
-    std::uint64_t m_Revision = 0;
-    ListStamp m_List;
+    ContentVersion m_Content;
   };
 
   void watchMore();
@@ -60,15 +59,12 @@
   void onWatchEnd(const std::string &Address,
                   const Result<Done, PeerError> &Ended);
   void onReport(const std::string &From, CoreReport Report);
-  /// Takes the content from a core VM that has newer content than this VM holds
-  /// or is nearer than the one that sends it.
-  void reviewSource(const std::string &From);
-  void setSourceAfter(Duration Delay, const std::string &Address);
+  ContentVersion held() const;
+  SourceChange reviewSource(const Watch &Link) const;
+  /// Takes the content from a core VM that has newer content than the one that
+  /// sends it, or is nearer.
+  void considerSource(const std::string &Address);
   void setSource(const std::string &Address);
-  bool isAhead(const Watch &Link) const;
-  bool isNear(const Watch &Link) const {
-    return Link.m_Domain == m_Settings.m_Domain;
-  }
   void takeEntryCount(std::size_t Count);
   void takeState(const std::string &From, const RoutingState &State);
   void checkList();
@@ -91,6 +87,7 @@
   std::uint64_t m_Version = 0;
   std::size_t m_EntryCount = 1;
   ListStamp m_ListStamp;
+  TimePoint m_StartedAt;
   /// When the list that is held was last known to be the newest.
   TimePoint m_ListConfirmedAt;
   TimePoint m_ListAskedAt;
--- a/src/ragwortdrift/fleet/core_members.cpp
+++ b/src/ragwortdrift/fleet/core_members.cpp
@@ -86,8 +86,13 @@
           const auto Reply = decode<JoinReply>(Message);
           if (!isOk(Reply))
             return;
-          if (!valueOf(Reply).m_Leader.empty())
-            m_LeaderHint = valueOf(Reply).m_Leader;
+          const std::string &Leader = valueOf(Reply).m_Leader;
+          if (!Leader.empty())
+            m_LeaderHint = Leader;
+          if (!Leader.empty() && leaderAddress().empty() &&
+              std::exchange(m_Serves, false))
+            logEvent(LogSeverity::Warning, "state.stale",
+                     {{"leader", Leader}, {"revision", m_State.m_Revision}});
           for (const std::string &Other : valueOf(Reply).m_Cores)
             if (Other != m_Address)
               m_OtherCores.insert(Other);
--- a/src/ragwortdrift/fleet/entry_control.cpp
+++ b/src/ragwortdrift/fleet/entry_control.cpp
@@ -26,6 +26,9 @@
 /// A core VM that has newer content than this VM holds sends it after this. Its
 /// usual source has it within a heartbeat of the replicated log, 75 ms.
 constexpr std::chrono::milliseconds SourceWait{150};
+/// For this long after its start an entry VM does not wait for its source: it
+/// may have been the first to answer and have an old state.
+constexpr std::chrono::seconds NewTime{2};
 /// Without news of the list for this long an entry VM reads it itself. Core
 /// VMs report every 500 ms, and elect a new leader within a second.
 constexpr std::chrono::milliseconds ListSilence{2500};
@@ -50,6 +53,7 @@
 
 void EntryControl::start() {
   m_Driver.start();
+  m_StartedAt = m_Timers.now();
   m_ListConfirmedAt = m_Timers.now();
   m_ListAskedAt = m_Timers.now();
   setCores(m_Settings.m_Cores);
@@ -149,9 +153,7 @@
   if (Found == m_Watches.end())
     return;
   Watch &Link = Found->second;
-  Link.m_Domain = Report.m_Domain;
-  Link.m_Revision = Report.m_Revision;
-  Link.m_List = Report.m_List;
+  Link.m_Content = {Report.m_Domain, Report.m_Revision, Report.m_List};
   if (!std::exchange(Link.m_Connected, true))
     logEvent(LogSeverity::Info, "core.connected",
              {{"core", From}, {"revision", Report.m_Revision}});
@@ -171,51 +173,38 @@
   takeEntryCount(Report.m_EntryCount);
   const std::size_t Known = m_Cores.size();
   m_Cores.insert(Report.m_Cores.begin(), Report.m_Cores.end());
-  reviewSource(From);
+  considerSource(From);
   if (m_Cores.size() != Known)
     watchMore();
 }
 
-bool EntryControl::isAhead(const Watch &Link) const {
-  return Link.m_Revision > m_Revision || Link.m_List > m_ListStamp;
+ContentVersion EntryControl::held() const {
+  return {m_Settings.m_Domain, m_Revision, m_ListStamp};
 }
 
-void EntryControl::reviewSource(const std::string &From) {
-  if (From == m_Source)
-    return;
-  const Watch &Link = m_Watches[From];
-  if (m_Source.empty()) {
-    setSourceAfter(Duration{0}, From);
-    return;
-  }
-  const Watch &Current = m_Watches[m_Source];
-  if (isAhead(Link)) {
-    // A VM that has just started waits for nobody.
-    const bool HoldsNothing = m_Revision == 0 || !m_HasList;
-    setSourceAfter(HoldsNothing && !isAhead(Current) ? Duration{0} : SourceWait,
-                   From);
-    return;
-  }
-  const bool IsCurrent =
-      Link.m_Revision == m_Revision && Link.m_List == m_ListStamp;
-  if (IsCurrent && isNear(Link) && !isNear(Current))
-    setSourceAfter(Duration{0}, From);
+SourceChange EntryControl::reviewSource(const Watch &Link) const {
+  const auto Source = m_Watches.find(m_Source);
+  const bool IsNew = !m_HasList || m_Timers.now() - m_StartedAt < NewTime;
+  return ragwortdrift::reviewSource(
+      Link.m_Content,
+      Source == m_Watches.end() ? nullptr : &Source->second.m_Content, held(),
+      IsNew);
 }
 
-void EntryControl::setSourceAfter(Duration Delay, const std::string &Address) {
-  if (m_SourceTimer)
+void EntryControl::considerSource(const std::string &Address) {
+  if (Address == m_Source || m_SourceTimer)
+    return;
+  const SourceChange Change = reviewSource(m_Watches[Address]);
+  if (Change == SourceChange::Keep)
     return;
   // Not within a report, since the change ends its watch.
+  const Duration Delay =
+      Change == SourceChange::Now ? Duration{0} : Duration{SourceWait};
   m_SourceTimer = m_Timers.after(Delay, [this, Address] {
     m_SourceTimer.reset();
     const auto Found = m_Watches.find(Address);
-    if (Found == m_Watches.end() || !Found->second.m_Connected)
-      return;
-    const Watch &Link = Found->second;
-    const bool IsNearer = !m_Source.empty() && isNear(Link) &&
-                          !isNear(m_Watches[m_Source]) &&
-                          Link.m_Revision >= m_Revision;
-    if (m_Source.empty() || isAhead(Link) || IsNearer)
+    if (Found != m_Watches.end() && Found->second.m_Connected &&
+        reviewSource(Found->second) != SourceChange::Keep)
       setSource(Address);
   });
 }
@@ -226,7 +215,7 @@
            {{"core", Address},
             {"former", Former},
             {"revision", m_Revision},
-            {"its_revision", m_Watches[Address].m_Revision}});
+            {"its_revision", m_Watches[Address].m_Content.m_Revision}});
   if (m_Watches.contains(Former))
     openWatch(Former);
   openWatch(Address);
--- a/src/ragwortdrift/fleet/fleet_test.cpp
+++ b/src/ragwortdrift/fleet/fleet_test.cpp
@@ -106,6 +106,8 @@
       if (std::chrono::steady_clock::now() >= End)
         return false;
       m_Io.run_one_for(5ms);
+      if (m_SlowIo)
+        m_SlowIo->poll();
     }
     return true;
   }
@@ -159,6 +161,8 @@
   }
 
   asio::io_context m_Io;
+  /// Run beside m_Io when set, so that a test can let a VM stand still.
+  asio::io_context *m_SlowIo = nullptr;
   std::size_t m_Founders;
   HttpServer m_ListServer;
   std::map<std::string, std::string> m_ListPages{{"/", " a,b"}};
@@ -395,6 +399,48 @@
       F.runUntil([&] { return Watching.m_Lists.back().size() == 3; }, 3s));
 }
 
+// Guards against a core VM that was frozen, lost its vote meanwhile and goes on
+// telling entry VMs that start what it held before.
+Test(fleet, does_not_tell_the_state_of_a_former_voter) {
+  Fleet F(3, 3);
+  asio::io_context FormerIo;
+  CoreNode Former(FormerIo, F.settings(2, true), lineFormat());
+  cr_assert(isOk(Former.start()));
+  F.m_SlowIo = &FormerIo;
+  const auto heldByFormer = [&] {
+    for (const MetricSample &Item : Former.metrics())
+      if (Item.m_Name == "ragwortdrift_config_version")
+        return std::get<Gauge>(Item.m_Value).value();
+    return 0.0;
+  };
+  for (const std::size_t I : {0, 1})
+    F.start(I, true);
+  F.submitUntilClear(0, Fleet::config(1));
+  for (const std::size_t I : {3, 4})
+    F.start(I, false);
+  cr_assert(
+      F.runUntil([&] { return F.voters(0) == 5 && heldByFormer() == 1; }));
+  FleetSettings Settings = Entry::settings(F, "entry");
+  Settings.m_Cores = {F.m_Peers[2]};
+  {
+    Entry Earlier(F, Settings);
+    cr_assert(F.runUntil([&] { return !Earlier.m_Versions.empty(); }));
+    F.runUntil([] { return false; }, 1s);
+  }
+  // Its place is taken while it stands still.
+  F.m_SlowIo = nullptr;
+  F.start(5, false);
+  cr_assert(F.runUntil([&] { return F.voters(5) == 5; }, 12s));
+  F.submitUntilClear(0, Fleet::config(2));
+  F.m_SlowIo = &FormerIo;
+  F.runUntil([] { return false; }, 4s);
+  cr_assert_eq(heldByFormer(), 1);
+  Entry Watching(F, Settings);
+  cr_assert(F.runUntil([&] { return !Watching.m_Versions.empty(); }));
+  cr_assert_eq(Watching.m_Versions.front(), 2U);
+  F.m_SlowIo = nullptr;
+}
+
 // Guards against content that each core VM sends to every entry VM, and against
 // one that is missing when the core VM that sends it falls silent.
 Test(fleet, takes_content_from_one_core_vm) {
