Give a VM half of its share of the slack when it starts

Change: half of the share is there at the start and the other half is earned in the second window after it, where both were earned over two windows. The most that can be spent in a window around a restart, 1.5 shares, is the same. Tests: dispatch/saves_up_its_share_of_the_slack (row 'just started' failed before). dispatch/gives_up_at_once_what_cannot_be_sent got its buckets empty by starting; it now sets a ratio and a slack of 0, with the same limits.

--- a/include/ragwortdrift/dispatch/dispatcher.hpp
+++ b/include/ragwortdrift/dispatch/dispatcher.hpp
@@ -122,7 +122,8 @@
   LeafDirectory m_Leafs;
   struct Budget {
     HedgeBudget m_Tokens;
-    TimePoint m_EarnedAt;
+    /// Part of the share of the slack that has been earned by time.
+    double m_EarnedShare = 0;
   };
   std::map<ServiceName, Budget> m_Budgets;
   std::map<std::string, RouteStats> m_Stats;
--- a/src/ragwortdrift/dispatch/dispatcher.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher.cpp
@@ -17,9 +17,10 @@
 /// Share of the common slack that all VMs together may save up. The rest is for
 /// VMs that the others do not know of yet.
 constexpr double SlackShare = 0.8;
-/// Windows in which a VM that has started earns its share of the slack. The
-/// tokens of its former life may have been spent in the first of them.
-constexpr double SlackWindows = 2;
+/// Part of its share of the slack that a VM has when it starts. The tokens of
+/// its former life may have been spent in the same window, so it earns the rest
+/// in the window after that.
+constexpr double SlackAtStart = 0.5;
 /// Share of the common ratio that is earned; the rest covers repeats that reach
 /// a leaf in a later window than the requests that earned them.
 constexpr double RatioShare = 0.95;
@@ -150,20 +151,19 @@
   const TimePoint Now = m_Timers.now();
   const auto Found =
       m_Budgets
-          .try_emplace(
-              Service,
-              Budget{HedgeBudget(RatioShare * m_Options.m_RepeatRatio, burst()),
-                     m_StartedAt})
+          .try_emplace(Service,
+                       Budget{HedgeBudget(RatioShare * m_Options.m_RepeatRatio,
+                                          burst())})
           .first;
   Budget &Account = Found->second;
-  // Later than that only requests earn tokens: what is saved up may then be
+  // After two windows only requests earn tokens: what is saved up may then be
   // spent at once, and any window sees it only once.
-  const double FillMillis = SlackWindows * toMillis(m_Options.m_RepeatWindow);
-  const auto Earned = [&](TimePoint At) {
-    return std::min(toMillis(At - m_StartedAt) / FillMillis, 1.0);
-  };
-  Account.m_Tokens.earn(burst() * (Earned(Now) - Earned(Account.m_EarnedAt)));
-  Account.m_EarnedAt = Now;
+  const double Windows =
+      toMillis(Now - m_StartedAt) / toMillis(m_Options.m_RepeatWindow);
+  const double Earned =
+      SlackAtStart + (1 - SlackAtStart) * std::clamp(Windows - 1, 0.0, 1.0);
+  Account.m_Tokens.earn(burst() * (Earned - Account.m_EarnedShare));
+  Account.m_EarnedShare = Earned;
   return Account.m_Tokens;
 }
 
