--- a/src/ragwortdrift/fleet/fleet_test.cpp
+++ b/src/ragwortdrift/fleet/fleet_test.cpp
@@ -407,7 +407,7 @@
   CoreNode Former(FormerIo, F.settings(2, true), lineFormat());
   cr_assert(isOk(Former.start()));
   F.m_SlowIo = &FormerIo;
-  const auto heldByFormer = [&] {
+  const auto HeldByFormer = [&] {
     for (const MetricSample &Item : Former.metrics())
       if (Item.m_Name == "ragwortdrift_config_version")
         return std::get<Gauge>(Item.m_Value).value();
@@ -419,7 +419,7 @@
   for (const std::size_t I : {3, 4})
     F.start(I, false);
   cr_assert(
-      F.runUntil([&] { return F.voters(0) == 5 && heldByFormer() == 1; }));
+      F.runUntil([&] { return F.voters(0) == 5 && HeldByFormer() == 1; }));
   FleetSettings Settings = Entry::settings(F, "entry");
   Settings.m_Cores = {F.m_Peers[2]};
   {
@@ -434,7 +434,7 @@
   F.submitUntilClear(0, Fleet::config(2));
   F.m_SlowIo = &FormerIo;
   F.runUntil([] { return false; }, 4s);
-  cr_assert_eq(heldByFormer(), 1);
+  cr_assert_eq(HeldByFormer(), 1);
   Entry Watching(F, Settings);
   cr_assert(F.runUntil([&] { return !Watching.m_Versions.empty(); }));
   cr_assert_eq(Watching.m_Versions.front(), 2U);
--- a/src/ragwortdrift/tools/ctl/explain.cpp
+++ b/src/ragwortdrift/tools/ctl/explain.cpp
@@ -18,19 +18,23 @@
 /// Events that change what a process believes. Of each kind, the last one
 /// before a request's line is shown.
 struct BeliefKind {
-  std::string_view m_Name;
   std::vector<std::string_view> m_Events;
   /// The field by which beliefs of one kind are told apart; empty for none.
   std::string_view m_Subject;
 };
 
+constexpr std::string_view LeafSubject = "leaf";
+
 const std::vector<BeliefKind> &beliefKinds() {
   static const std::vector<BeliefKind> Kinds = {
-      {"process", {"process.started", "process.stopping"}, ""},
-      {"configuration", {"routes.in_force"}, ""},
-      {"isolation", {"vm.isolated", "vm.rejoined"}, ""},
-      {"core", {"core.connected", "core.lost"}, "core"},
-      {"leaf", {"leaf.unverified", "leaf.probed"}, "leaf"},
+      {{"process.started", "process.stopping"}, ""},
+      {{"routes.in_force"}, ""},
+      {{"vm.isolated", "vm.rejoined"}, ""},
+      {{"state.taken"}, ""},
+      {{"core.connected", "core.lost"}, "core"},
+      {{"core.source"}, ""},
+      {{"leaf.unverified", "leaf.probed"}, LeafSubject},
+      {{"leaf.estimated"}, LeafSubject},
   };
   return Kinds;
 }
@@ -78,14 +82,17 @@
   return Out;
 }
 
-/// Whether a line speaks of the subject of a belief.
-bool names(const LogLine &Line, const std::string &Subject) {
-  return Line.m_Text.find(Subject) != std::string::npos;
+/// Whether a belief has to do with a request's line. Of leafs, only those that
+/// the line names have.
+bool concerns(const BeliefKind &Kind, const std::string &Subject,
+              const LogLine &Line) {
+  return Kind.m_Subject != LeafSubject ||
+         Line.m_Text.find(Subject) != std::string::npos;
 }
 
 void readMatches(const std::string &File, const std::string &Id,
                  const std::string &Bytes, std::vector<Match> &Out) {
-  using Key = std::pair<std::string_view, std::string>;
+  using Key = std::pair<const BeliefKind *, std::string>;
   std::map<Key, LogLine> Beliefs;
   std::istringstream Lines(Bytes);
   for (std::string Text; std::getline(Lines, Text);) {
@@ -99,8 +106,7 @@
     for (const BeliefKind &Kind : beliefKinds())
       if (std::find(Kind.m_Events.begin(), Kind.m_Events.end(), Event) !=
           Kind.m_Events.end())
-        Beliefs[{Kind.m_Name, Line->field(std::string(Kind.m_Subject))}] =
-            *Line;
+        Beliefs[{&Kind, Line->field(std::string(Kind.m_Subject))}] = *Line;
     const bool IsOfRequest =
         std::any_of(Line->m_Fields.begin(), Line->m_Fields.end(),
                     [&](const auto &Field) { return Field.second == Id; });
@@ -108,7 +114,7 @@
       continue;
     Match Found{std::move(*Line), File, {}};
     for (const auto &[Kind, Belief] : Beliefs)
-      if (Kind.first != "leaf" || names(Found.m_Line, Kind.second))
+      if (concerns(*Kind.first, Kind.second, Found.m_Line))
         Found.m_Beliefs.push_back(Belief.m_Text);
     Out.push_back(std::move(Found));
   }
--- a/src/ragwortdrift/tools/ctl/explain_test.cpp
+++ b/src/ragwortdrift/tools/ctl/explain_test.cpp
@@ -29,6 +29,11 @@
     "time=2026-01-01T00:00:00Z level=info event=routes.in_force version=3\n"
     "time=2026-01-01T00:00:01Z level=info event=leaf.unverified leaf=i-1\n"
     "time=2026-01-01T00:00:01Z level=info event=leaf.unverified leaf=i-2\n"
+    "time=2026-01-01T00:00:01Z level=info event=core.source core=c-old\n"
+    "time=2026-01-01T00:00:02Z level=info event=core.source core=c-new\n"
+    "time=2026-01-01T00:00:02Z level=info event=state.taken core=c-new\n"
+    "time=2026-01-01T00:00:02Z level=info event=leaf.estimated leaf=i-1\n"
+    "time=2026-01-01T00:00:02Z level=info event=leaf.estimated leaf=i-3\n"
     "no log line\n"
     "time=2026-01-01T00:00:03Z level=info event=request.failed request=abc "
     "tries=\"s1[i-1:lost@0+5,]\"\n"
@@ -85,7 +90,11 @@
   cr_assert_lt(Refused, Config);
   cr_assert_lt(Config, Failed);
   cr_assert_lt(Leaf, Failed);
-  for (const char *Other : {"version=4", "leaf=i-2", "abcd", "vm.isolated"})
+  for (const char *Shown :
+       {"core.source core=c-new", "state.taken", "leaf.estimated leaf=i-1"})
+    cr_assert_neq(Text.find(Shown), std::string::npos, "%s", Shown);
+  for (const char *Other :
+       {"version=4", "leaf=i-2", "leaf=i-3", "c-old", "abcd", "vm.isolated"})
     cr_assert_eq(Text.find(Other), std::string::npos, "%s", Other);
 }
 
