Read the list of leafs ahead of an election

Change: a core VM that knows no leader and has no list reads it once; if it becomes the leader it tells that list at once and reads on as before. Test: fleet/reads_the_list_once_ahead_of_an_election failed before.

--- a/src/ragwortdrift/fleet/core_leaf_list.cpp
+++ b/src/ragwortdrift/fleet/core_leaf_list.cpp
@@ -28,12 +28,21 @@
 }
 
 void CoreNode::updateLeafs() {
-  if (isLeader()) {
+  if (isLeader() && !m_List.reading()) {
     m_ListWatch = {};
     m_ListSource.clear();
     readLeafs();
     return;
   }
+  // Read ahead of an election, so that a new leader has a list at once when all
+  // core VMs have restarted. It is told only when this VM leads.
+  if (!m_ListReadAt && leaderAddress().empty())
+    m_List.read([this](Result<LeafList, ListError> Outcome) {
+      if (!isOk(Outcome) || m_ListStamp != ListStamp{})
+        return;
+      m_Leafs = valueOf(std::move(Outcome));
+      m_ListReadAt = m_Timers.now();
+    });
   followLeafs();
   m_ListTimer = m_Timers.after(LeaderCheckInterval, [this] { updateLeafs(); });
 }
@@ -41,6 +50,10 @@
 void CoreNode::readLeafs() {
   const std::uint64_t CallsBefore = m_List.calls();
   const std::uint64_t Term = m_Log->status().m_Term;
+  if (m_ListStamp == ListStamp{} && listIsFresh()) {
+    m_ListStamp = {Term, 1};
+    reportAll();
+  }
   m_List.read([this, CallsBefore, Term](Result<LeafList, ListError> Outcome) {
     if (isOk(Outcome)) {
       m_ListReadAt = m_Timers.now();
--- a/src/ragwortdrift/fleet/core_members.cpp
+++ b/src/ragwortdrift/fleet/core_members.cpp
@@ -199,7 +199,7 @@
   CoreReport Out;
   Out.m_Domain = m_Settings.m_Domain;
   Out.m_Revision = serves() ? m_State.m_Revision : 0;
-  if (listIsFresh()) {
+  if (listIsFresh() && m_ListStamp != ListStamp{}) {
     Out.m_List = m_ListStamp;
     Out.m_ListAge = m_Timers.now() - *m_ListReadAt;
   }
--- a/src/ragwortdrift/fleet/fleet_test.cpp
+++ b/src/ragwortdrift/fleet/fleet_test.cpp
@@ -374,6 +374,15 @@
                std::chrono::nanoseconds(3s).count());
 }
 
+// Guards against entry VMs that wait for the list when all core VMs have
+// restarted, and against core VMs that all read it again and again meanwhile.
+Test(fleet, reads_the_list_once_ahead_of_an_election) {
+  Fleet F(3);
+  F.start(0, true);
+  F.runUntil([] { return false; }, 700ms);
+  cr_assert_eq(F.m_ListCalls, 1);
+}
+
 // Guards against an entry VM that reads the list for itself because it watches
 // every core VM but the leader.
 Test(fleet, passes_the_list_on_through_every_core_vm) {
