Ask a list that refuses only once ahead of an election

Cause: a core VM without a leader would have asked a list that fails each 50 ms. Change: one call for each life of a process. Test: the row 'list that refuses' of fleet/reads_the_list_once_ahead_of_an_election failed before.

--- a/src/ragwortdrift/fleet/core_leaf_list.cpp
+++ b/src/ragwortdrift/fleet/core_leaf_list.cpp
@@ -35,8 +35,9 @@
     return;
   }
   // Read ahead of an election, so that a new leader has a list at once when all
-  // core VMs have restarted. It is told only when this VM leads.
-  if (!m_ListReadAt && leaderAddress().empty())
+  // core VMs have restarted. It is told only when this VM leads. One call, so
+  // that a list which refuses is not asked by all core VMs again and again.
+  if (m_List.calls() == 0 && leaderAddress().empty())
     m_List.read([this](Result<LeafList, ListError> Outcome) {
       if (!isOk(Outcome) || m_ListStamp != ListStamp{})
         return;
--- a/src/ragwortdrift/fleet/fleet_test.cpp
+++ b/src/ragwortdrift/fleet/fleet_test.cpp
@@ -240,6 +240,15 @@
      0},
 };
 
+struct AheadCase {
+  const char *m_Name;
+  std::map<std::string, std::string> m_Pages;
+};
+const AheadCase AheadCases[] = {
+    {"list of one page", {{"/", " a,b"}}},
+    {"list that refuses", {}},
+};
+
 } // namespace
 
 // Guards against a list that is taken in part: its missing leafs would count
@@ -376,11 +385,12 @@
 
 // Guards against entry VMs that wait for the list when all core VMs have
 // restarted, and against core VMs that all read it again and again meanwhile.
-Test(fleet, reads_the_list_once_ahead_of_an_election) {
+TABLE_TEST(fleet, reads_the_list_once_ahead_of_an_election, AheadCases) {
   Fleet F(3);
+  F.m_ListPages = Row.m_Pages;
   F.start(0, true);
   F.runUntil([] { return false; }, 700ms);
-  cr_assert_eq(F.m_ListCalls, 1);
+  cr_assert_eq(F.m_ListCalls, 1, "%s", Row.m_Name);
 }
 
 // Guards against an entry VM that reads the list for itself because it watches
