--- a/src/ragwortdrift/dispatch/leaf_view.cpp
+++ b/src/ragwortdrift/dispatch/leaf_view.cpp
@@ -33,6 +33,9 @@
 /// A connection to a leaf that this VM does not use may be one too many for the
 /// leaf; still better than one that refuses a third of its requests.
 constexpr double UnusedCost = 3;
+/// Estimates of a leaf come each 250 ms while it is slow or fails; after a gap
+/// of this length the next one begins a new spell, which is logged.
+constexpr std::chrono::seconds SpellGap{1};
 /// Leafs whose costs differ by less are equally good.
 constexpr double EqualCost = 0.15;
 
@@ -96,8 +99,7 @@
 }
 
 bool LeafView::setEstimate(TimePoint Now, double Slowness, double Failures) {
-  const bool IsNews =
-      !m_CommonAt || Now - *m_CommonAt > std::chrono::seconds(1);
+  const bool IsNews = !m_CommonAt || Now - *m_CommonAt > SpellGap;
   m_CommonSlowness = std::min(Slowness, MaxSlowness);
   m_CommonFailures = Failures;
   m_CommonAt = Now;
--- a/src/ragwortdrift/fleet/core_leaf_list.cpp
+++ b/src/ragwortdrift/fleet/core_leaf_list.cpp
@@ -104,7 +104,12 @@
         m_ListStamp = In.m_List;
         reportAll();
       },
-      [](const Result<Done, PeerError> &) {});
+      [this](const Result<Done, PeerError> &Ended) {
+        logEvent(LogSeverity::Warning, "leaf_list.leader_lost",
+                 {{"leader", m_ListSource},
+                  {"cause", isOk(Ended) ? std::string_view("ended")
+                                        : nameOf(errorOf(Ended).m_Code)}});
+      });
 }
 
 } // namespace ragwortdrift
