Bound all bytes of an HTTP message and the callers that never finish one

Cause: Beast's parser has limits for the header and the body, and none for chunk extensions and trailers, which it buffers until they end. One caller took a VM to 4 GB in 13 s; a leaf could do the same to the client that reads its responses. A header had the idle time-out of 60 s, so slow callers could hold all connections, and complete ones were refused. Bytes that are no request behind an open one closed the connection without a response, a stop cut off a request that was read behind another one, and a failed accept was repeated at once.

Change: both sides read through MessageReader, which bounds the buffer by the size of a header and the bytes beside header and body in proportion to the body. It skips interim responses, within the same bound. The server has time-outs for an idle connection, a header and a body, a bound on the bytes of all open requests, and replaces the connection that has waited longest for a request when there are too many or no file descriptors.

--- a/include/ragwortdrift/net/http_client.hpp
+++ b/include/ragwortdrift/net/http_client.hpp
@@ -6,20 +6,19 @@
 #include "ragwortdrift/net/http_types.hpp"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace ragwortdrift {
 
+template <bool IsRequest> class MessageReader;
+
 /// A client connection that carries one request at a time. Closing it cancels
 /// the request. Callbacks run on the thread of the io_context, never within the
-/// call that registers them.
+/// call that registers them. Interim responses (1xx) are skipped.
 class HttpClientConnection
     : public std::enable_shared_from_this<HttpClientConnection> {
 public:
@@ -27,8 +26,12 @@
   using Callback = std::function<void(Result<HttpResponse, HttpError>)>;
 
   static constexpr std::uint64_t MaxBodyBytes = 1'048'576;
+  static constexpr std::uint32_t MaxHeaderBytes = 16 * 1024;
 
-  explicit HttpClientConnection(boost::asio::io_context &Io) : m_Stream(Io) {}
+  explicit HttpClientConnection(boost::asio::io_context &Io);
+  ~HttpClientConnection();
+  HttpClientConnection(const HttpClientConnection &) = delete;
+  HttpClientConnection &operator=(const HttpClientConnection &) = delete;
 
   void connect(const std::string &Ip, std::uint16_t Port, Duration Timeout,
                ConnectCallback Fn);
@@ -45,14 +48,12 @@
   bool usable() const { return m_Open && !m_Busy; }
 
 private:
+  void readResponse();
   void finish(Result<HttpResponse, HttpError> Outcome);
   void watchForIdleClose();
 
   boost::beast::tcp_stream m_Stream;
-  boost::beast::flat_buffer m_Buffer;
-  std::optional<
-      boost::beast::http::response_parser<boost::beast::http::string_body>>
-      m_Parser;
+  std::unique_ptr<MessageReader<false>> m_Reader;
   HttpRequest m_Request;
   Callback m_Callback;
   std::function<void()> m_OnIdleClose;
--- a/include/ragwortdrift/net/http_server.hpp
+++ b/include/ragwortdrift/net/http_server.hpp
@@ -5,6 +5,7 @@
 #include "ragwortdrift/net/http_types.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
 #include <functional>
@@ -18,10 +19,16 @@
 struct HttpLimits {
   std::uint32_t m_MaxHeaderBytes = 16 * 1024;
   std::uint64_t m_MaxBodyBytes = 65'536;
+  /// At this number a new connection replaces the one that has waited longest
+  /// for a complete request.
   std::size_t m_MaxConnections = 10'000;
-  /// Time in which a complete header must arrive; also the idle time-out of a
-  /// connection.
-  std::chrono::seconds m_HeaderTimeout{60};
+  /// Bytes of requests that are not answered yet, on all connections together.
+  /// Above that, incomplete requests are refused, the oldest first.
+  std::size_t m_MaxRequestBytes = std::size_t{32} * 1024 * 1024;
+  /// Time-out of a connection on which no byte of the next request has arrived.
+  std::chrono::seconds m_IdleTimeout{60};
+  /// Time from the first byte of a request to the end of its header.
+  std::chrono::seconds m_HeaderTimeout{10};
   std::chrono::seconds m_BodyTimeout{10};
   std::chrono::seconds m_WriteTimeout{10};
 };
@@ -68,22 +75,32 @@
   /// Adds "Connection: close" to each response from now on and closes its
   /// connection. New connections are still accepted.
   void disableKeepAlive() { m_Stopping = true; }
-  /// Refuses new connections and closes each open one after its next
-  /// response, or at once if it is idle.
+  /// Refuses new connections and closes each open one after the responses to
+  /// the requests that have arrived on it, or at once if there are none.
   void beginStop();
   std::size_t connections() const { return m_Connections.size(); }
   std::size_t openExchanges() const { return m_OpenExchanges; }
 
 private:
   friend class HttpConnection;
+  using ConnectionPtr = std::shared_ptr<HttpConnection>;
+
   void accept();
+  void onAcceptFailed();
+  /// Returns the connection without a complete request that is the first to
+  /// give way to others, or null.
+  ConnectionPtr findReplaceable(bool HasPartialRequest) const;
+  void limitRequestBytes();
 
   boost::asio::io_context &m_Io;
   HttpLimits m_Limits;
   Handler m_OnRequest;
   boost::asio::ip::tcp::acceptor m_Acceptor;
-  std::set<std::shared_ptr<HttpConnection>> m_Connections;
+  boost::asio::steady_timer m_AcceptRetryTimer;
+  std::set<ConnectionPtr> m_Connections;
   std::size_t m_OpenExchanges = 0;
+  /// Bytes of all requests that are not answered yet.
+  std::size_t m_RequestBytes = 0;
   bool m_Stopping = false;
 };
 
--- a/src/ragwortdrift/net/http_client.cpp
+++ b/src/ragwortdrift/net/http_client.cpp
@@ -1,4 +1,5 @@
 #include "ragwortdrift/net/http_client.hpp"
+#include "message_reader.hpp"
 
 #include <boost/beast/http.hpp>
 
@@ -23,6 +24,12 @@
 
 } // namespace
 
+HttpClientConnection::HttpClientConnection(asio::io_context &Io)
+    : m_Stream(Io), m_Reader(std::make_unique<MessageReader<false>>(m_Stream)) {
+}
+
+HttpClientConnection::~HttpClientConnection() = default;
+
 void HttpClientConnection::connect(const std::string &Ip, std::uint16_t Port,
                                    Duration Timeout, ConnectCallback Fn) {
   beast::error_code Error;
@@ -59,28 +66,31 @@
   m_Callback = std::move(Fn);
   m_Request = std::move(Request);
   m_Request.prepare_payload();
-  m_Parser.emplace();
-  m_Parser->body_limit(MaxBodyBytes);
+  m_Reader->begin({MaxHeaderBytes, MaxBodyBytes});
   m_Stream.expires_after(Timeout);
   http::async_write(
       m_Stream, m_Request,
       [Self = shared_from_this()](beast::error_code Error, std::size_t Bytes) {
-        if (Error) {
+        if (Error)
           Self->finish(
               HttpError{toHttpErrorCode(Error), Bytes > 0, Error.message()});
-          return;
-        }
-        http::async_read(Self->m_Stream, Self->m_Buffer, *Self->m_Parser,
-                         [Self](beast::error_code ReadError, std::size_t) {
-                           if (ReadError)
-                             Self->finish(HttpError{toHttpErrorCode(ReadError),
-                                                    true, ReadError.message()});
-                           else
-                             Self->finish(Self->m_Parser->release());
-                         });
+        else
+          Self->readResponse();
       });
 }
 
+void HttpClientConnection::readResponse() {
+  m_Reader->readMessage(
+      [Self = shared_from_this()](beast::error_code Error) {
+        if (Error)
+          Self->finish(
+              HttpError{toHttpErrorCode(Error), true, Error.message()});
+        else
+          Self->finish(Self->m_Reader->release());
+      },
+      [] {});
+}
+
 void HttpClientConnection::close() {
   m_Closing = true;
   m_Open = false;
@@ -94,7 +104,7 @@
     if (m_Closing)
       std::get<1>(Outcome).m_Code = HttpErrorCode::Cancelled;
     close();
-  } else if (!valueOf(Outcome).keep_alive() || m_Buffer.size() > 0) {
+  } else if (!valueOf(Outcome).keep_alive() || m_Reader->unparsedBytes() > 0) {
     // Bytes after a complete response belong to no request, so the connection
     // is out of sync.
     close();
--- a/src/ragwortdrift/net/http_server.cpp
+++ b/src/ragwortdrift/net/http_server.cpp
@@ -1,7 +1,6 @@
 #include "ragwortdrift/net/http_server.hpp"
+#include "message_reader.hpp"
 
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
 #include <optional>
@@ -25,62 +24,171 @@
     Respond(std::move(Response));
 }
 
+namespace {
+
+/// Delay before connections are accepted again after a failure, which is mostly
+/// a lack of file descriptors.
+constexpr std::chrono::milliseconds AcceptRetryDelay{20};
+
+HttpResponse tooLargeResponse() {
+  return jsonResponse(
+      413,
+      R"({"error":"too_large","not_run":true,"detail":"the request exceeds the size limit"})");
+}
+
+HttpResponse malformedResponse() {
+  return jsonResponse(
+      400,
+      R"({"error":"bad_request","not_run":true,"detail":"the request is not HTTP/1.1"})");
+}
+
+HttpResponse requestBytesResponse() {
+  return jsonResponse(
+      503,
+      R"({"error":"overloaded","not_run":true,"detail":"too many bytes of requests"})");
+}
+
+/// Returns the refusal for a request that cannot be read, or nothing if the
+/// caller is gone or too slow.
+std::optional<HttpResponse> readErrorResponse(beast::error_code Error) {
+  if (Error == http::error::body_limit || Error == http::error::header_limit ||
+      Error == http::error::buffer_overflow)
+    return tooLargeResponse();
+  const bool IsMalformed =
+      Error.category() == make_error_code(http::error::bad_method).category() &&
+      Error != http::error::end_of_stream &&
+      Error != http::error::partial_message;
+  return IsMalformed ? std::optional(malformedResponse()) : std::nullopt;
+}
+
+} // namespace
+
 /// A server connection. Reads at most one request ahead and writes one response
 /// at a time.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
 public:
   HttpConnection(tcp::socket Socket, HttpServer &Server)
-      : m_Stream(std::move(Socket)), m_Server(Server) {}
+      : m_Stream(std::move(Socket)), m_Server(Server), m_Reader(m_Stream) {}
 
-  void start() { readHeader(); }
+  void start() { awaitRequest(); }
 
   void close() {
     beast::error_code Ignored;
     m_Stream.socket().close(Ignored);
   }
 
-  /// Stops waiting for another request. A request that has already arrived is
-  /// still read and answered, and its response closes the connection.
+  /// Stops waiting for another request. A request of which bytes have arrived
+  /// is still read and answered, and its response closes the connection.
   void closeWhenIdle() {
     beast::error_code Ignored;
-    if (!m_Current && !m_Writing && m_Stream.socket().available(Ignored) == 0)
+    if (isWaiting() && m_Reader.heldBytes() == 0 &&
+        m_Stream.socket().available(Ignored) == 0)
       m_Stream.cancel();
   }
 
+  /// Returns true if no request of this connection is complete and unanswered.
+  bool isWaiting() const {
+    return !m_Current && !m_Writing && !m_NextRequest && !m_ReadEnded;
+  }
+  bool hasPartialRequest() const {
+    return isWaiting() && m_Reader.heldBytes() > 0;
+  }
+  /// Returns true if the caller has completed a request before.
+  bool hasSentRequest() const { return m_HasSentRequest; }
+  std::chrono::steady_clock::time_point waitingSince() const {
+    return m_WaitingSince;
+  }
+
+  /// Refuses the request that has arrived in part.
+  void refusePartialRequest() {
+    endRead();
+    refuse(requestBytesResponse());
+  }
+
+  /// Ends a connection that waits for a request.
+  void drop() {
+    endRead();
+    shutdown();
+  }
+
 private:
-  using Parser = http::request_parser<http::string_body>;
+  void awaitRequest() {
+    const HttpLimits &Limits = m_Server.m_Limits;
+    m_Reader.begin({Limits.m_MaxHeaderBytes, Limits.m_MaxBodyBytes});
+    m_WaitingSince = std::chrono::steady_clock::now();
+    m_Stream.expires_after(m_Reader.heldBytes() == 0 ? Limits.m_IdleTimeout
+                                                     : Limits.m_HeaderTimeout);
+    readHeader();
+  }
 
   void readHeader() {
-    m_Reading = true;
-    m_Parser.emplace();
-    m_Parser->header_limit(m_Server.m_Limits.m_MaxHeaderBytes);
-    m_Parser->body_limit(m_Server.m_Limits.m_MaxBodyBytes);
-    m_Stream.expires_after(m_Server.m_Limits.m_HeaderTimeout);
-    http::async_read_header(
-        m_Stream, m_Buffer, *m_Parser,
-        [Self = shared_from_this()](beast::error_code Error, auto) {
-          Error ? Self->onReadError(Error) : Self->readBody();
-        });
+    if (m_Reader.hasHeader()) {
+      m_Reader.parseHeader(
+          [Self = shared_from_this()](beast::error_code Error) {
+            Error ? Self->onReadError(Error) : Self->readBody();
+          });
+      return;
+    }
+    m_Reader.receive([Self = shared_from_this(),
+                      IsFirst =
+                          m_Reader.heldBytes() == 0](beast::error_code Error) {
+      if (Error) {
+        Self->onReadError(Error);
+        return;
+      }
+      if (IsFirst)
+        Self->m_Stream.expires_after(Self->m_Server.m_Limits.m_HeaderTimeout);
+      Self->onProgress();
+      Self->readHeader();
+    });
   }
 
   void readBody() {
+    if (m_ReadEnded)
+      return;
     m_Stream.expires_after(m_Server.m_Limits.m_BodyTimeout);
-    http::async_read(
-        m_Stream, m_Buffer, *m_Parser,
-        [Self = shared_from_this()](beast::error_code Error, auto) {
+    m_Reader.readMessage(
+        [Self = shared_from_this()](beast::error_code Error) {
           Error ? Self->onReadError(Error) : Self->onRequestRead();
-        });
+        },
+        [Self = shared_from_this()] { Self->onProgress(); });
+  }
+
+  /// Called when a part of a request has arrived.
+  void onProgress() {
+    if (m_ReadEnded)
+      return;
+    countRequestBytes();
+    m_Server.limitRequestBytes();
+  }
+
+  /// Updates the share of this connection in the bytes of the server.
+  void countRequestBytes() {
+    const std::size_t Bytes =
+        (m_ReadEnded || m_NextRequest ? 0 : m_Reader.heldBytes()) +
+        (m_NextRequest ? m_NextRequest->body().size() : 0) +
+        (m_Current ? m_Current->request().body().size() : 0);
+    m_Server.m_RequestBytes += Bytes;
+    m_Server.m_RequestBytes -= std::exchange(m_RequestBytes, Bytes);
   }
 
   void onRequestRead() {
-    m_Reading = false;
-    m_NextRequest = m_Parser->release();
+    if (m_ReadEnded)
+      return;
+    m_NextRequest = m_Reader.release();
+    m_HasSentRequest = true;
+    countRequestBytes();
     dispatchNext();
   }
 
   void dispatchNext() {
-    if (m_Current || m_Writing || !m_NextRequest)
+    if (m_Current || m_Writing)
+      return;
+    if (!m_NextRequest) {
+      if (m_PendingRefusal)
+        refuse(*std::exchange(m_PendingRefusal, std::nullopt));
       return;
+    }
     m_Current = std::make_shared<HttpExchange>(std::move(*m_NextRequest));
     m_NextRequest.reset();
     ++m_Server.m_OpenExchanges;
@@ -91,20 +199,30 @@
     auto Exchange = m_Current;
     // A pending read detects a caller that disconnects before the response.
     if (Exchange->request().keep_alive())
-      readHeader();
+      awaitRequest();
     m_Server.m_OnRequest(std::move(Exchange));
   }
 
   void write(HttpResponse Response) {
     const bool Close =
         Response[http::field::connection] == "close" || m_Server.m_Stopping;
-    m_KeepAlive = m_Current->request().keep_alive() && !Close && !m_ReadEnded;
+    // A request that was read behind this one is answered as well; the response
+    // to the last one closes the connection.
+    const bool HasNext = m_NextRequest || m_PendingRefusal;
+    m_KeepAlive = m_Current->request().keep_alive() &&
+                  (HasNext || (!Close && !m_ReadEnded));
     Response.version(m_Current->request().version());
     Response.keep_alive(m_KeepAlive);
     endExchange();
     send(std::move(Response));
   }
 
+  void refuse(HttpResponse Response) {
+    m_KeepAlive = false;
+    Response.keep_alive(false);
+    send(std::move(Response));
+  }
+
   void send(HttpResponse Response) {
     m_Writing = true;
     m_Response = std::move(Response);
@@ -118,32 +236,30 @@
             Self->shutdown();
             return;
           }
+          // The time without an exchange begins here.
+          Self->m_WaitingSince = std::chrono::steady_clock::now();
           Self->dispatchNext();
         });
   }
 
-  void onReadError(beast::error_code Error) {
-    m_Reading = false;
+  /// Marks the pending read as abandoned; its handler then has no effect.
+  void endRead() {
     m_ReadEnded = true;
-    const bool TooLarge =
-        Error == http::error::body_limit || Error == http::error::header_limit;
-    const bool Malformed =
-        Error.category() ==
-            make_error_code(http::error::bad_method).category() &&
-        Error != http::error::end_of_stream &&
-        Error != http::error::partial_message;
-    if ((TooLarge || Malformed) && !m_Current && !m_Writing) {
-      m_KeepAlive = false;
-      send(jsonResponse(
-          TooLarge ? 413 : 400,
-          TooLarge
-              ? R"({"error":"too_large","not_run":true,"detail":"the request exceeds the size limit"})"
-              : R"({"error":"bad_request","not_run":true,"detail":"the request is not HTTP/1.1"})"));
+    countRequestBytes();
+  }
+
+  void onReadError(beast::error_code Error) {
+    if (m_ReadEnded)
+      return;
+    endRead();
+    if (auto Refusal = readErrorResponse(Error)) {
+      m_PendingRefusal = std::move(*Refusal);
+      dispatchNext();
       return;
     }
-    if (m_Current && !TooLarge && !Malformed)
+    if (m_Current)
       abortExchange();
-    if (!m_Current && !m_Writing)
+    if (!m_Writing)
       shutdown();
   }
 
@@ -160,23 +276,32 @@
       return;
     m_Current.reset();
     --m_Server.m_OpenExchanges;
+    countRequestBytes();
   }
 
   void shutdown() {
     if (m_Current)
       abortExchange();
     close();
+    m_ReadEnded = true;
+    m_NextRequest.reset();
+    countRequestBytes();
     m_Server.m_Connections.erase(shared_from_this());
   }
 
   beast::tcp_stream m_Stream;
   HttpServer &m_Server;
-  beast::flat_buffer m_Buffer;
-  std::optional<Parser> m_Parser;
+  MessageReader<true> m_Reader;
   std::optional<HttpRequest> m_NextRequest;
+  /// Response to bytes that are no acceptable request, sent after the responses
+  /// to the requests before them.
+  std::optional<HttpResponse> m_PendingRefusal;
   std::shared_ptr<HttpExchange> m_Current;
   HttpResponse m_Response;
-  bool m_Reading = false;
+  /// Start of the wait for the request that is not complete yet.
+  std::chrono::steady_clock::time_point m_WaitingSince;
+  std::size_t m_RequestBytes = 0;
+  bool m_HasSentRequest = false;
   bool m_ReadEnded = false;
   bool m_Writing = false;
   bool m_KeepAlive = true;
@@ -185,7 +310,7 @@
 HttpServer::HttpServer(asio::io_context &Io, HttpLimits Limits,
                        Handler OnRequest)
     : m_Io(Io), m_Limits(Limits), m_OnRequest(std::move(OnRequest)),
-      m_Acceptor(Io) {}
+      m_Acceptor(Io), m_AcceptRetryTimer(Io) {}
 
 HttpServer::~HttpServer() = default;
 
@@ -218,7 +343,14 @@
       m_Io, [this](beast::error_code Error, tcp::socket Socket) {
         if (Error == asio::error::operation_aborted || !m_Acceptor.is_open())
           return;
-        if (!Error && m_Connections.size() < m_Limits.m_MaxConnections) {
+        if (Error) {
+          onAcceptFailed();
+          return;
+        }
+        if (m_Connections.size() >= m_Limits.m_MaxConnections)
+          if (const auto Replaced = findReplaceable(false))
+            Replaced->drop();
+        if (m_Connections.size() < m_Limits.m_MaxConnections) {
           beast::error_code Ignored;
           Socket.set_option(tcp::no_delay(true), Ignored);
           auto Connection =
@@ -230,10 +362,50 @@
       });
 }
 
+void HttpServer::onAcceptFailed() {
+  // The pending connection stays in the queue of the kernel, so another accept
+  // would fail at once. A connection without a request gives its file
+  // descriptor back.
+  if (const auto Replaced = findReplaceable(false))
+    Replaced->drop();
+  m_AcceptRetryTimer.expires_after(AcceptRetryDelay);
+  m_AcceptRetryTimer.async_wait([this](beast::error_code Error) {
+    if (!Error && m_Acceptor.is_open())
+      accept();
+  });
+}
+
+HttpServer::ConnectionPtr
+HttpServer::findReplaceable(bool HasPartialRequest) const {
+  // A connection that has not completed a request gives way before an idle one
+  // of a caller that has.
+  const auto Rank = [](const ConnectionPtr &Item) {
+    return std::pair(Item->hasSentRequest() && !Item->hasPartialRequest(),
+                     Item->waitingSince());
+  };
+  ConnectionPtr Best;
+  for (const ConnectionPtr &Item : m_Connections)
+    if (Item->isWaiting() &&
+        (!HasPartialRequest || Item->hasPartialRequest()) &&
+        (!Best || Rank(Item) < Rank(Best)))
+      Best = Item;
+  return Best;
+}
+
+void HttpServer::limitRequestBytes() {
+  while (m_RequestBytes > m_Limits.m_MaxRequestBytes) {
+    const auto Oldest = findReplaceable(true);
+    if (!Oldest)
+      return;
+    Oldest->refusePartialRequest();
+  }
+}
+
 void HttpServer::beginStop() {
   m_Stopping = true;
   beast::error_code Ignored;
   m_Acceptor.close(Ignored);
+  m_AcceptRetryTimer.cancel();
   for (const auto &Connection : std::set(m_Connections))
     Connection->closeWhenIdle();
 }
