Hold a configuration whose shards are cold, and refuse at once what cannot be served

Cause: a new version was in force 10 ms after it was accepted. When the index is cut anew, the leafs of the new shards may still be cold, and every search waited 60 ms to be refused while the old, warm shards stood by.

Change: an entry VM holds a version while one of its routes has a smaller share of ready services than the route that it replaces, at most 0.65 of the propagation time that the platform allows, measured from its receipt. A version is held as a whole, later versions do not extend the time, and a request checks the time itself in case the process was paused. Limits of callers and domains taken out are applied at once. Connections to the held shards are opened while they are cold. A search that has too few shards with a leaf that may be available within 60 ms is refused without a send, with the time after which it can be served, spread over 200 ms. As nothing is sent then, a VM checks leafs of other domains by a probe, so that it does not take itself for isolated.

--- a/include/ragwortdrift/dispatch/active_request.hpp
+++ b/include/ragwortdrift/dispatch/active_request.hpp
@@ -92,6 +92,9 @@
   unsigned possibleExecutions(const SubRequest &Sub) const;
   bool hasOpenAttempt(const SubRequest &Sub) const;
   void send(std::size_t SubRequestIndex);
+  /// Fails the sub-requests whose leafs are all known to be unavailable for
+  /// longer than a request waits. If too few remain, none is sent.
+  void failUnavailable();
   bool canRetry(const SubRequest &Sub) const;
   /// Schedules a retry, or marks the sub-request as failed if it has waited too
   /// long. Called if there is no retry token (AwaitsToken) or no available
@@ -121,6 +124,7 @@
   HttpResponse singleResponse(FinishCause Cause) const;
   HttpResponse failureResponse(FinishCause Cause) const;
   bool noneExecuted() const;
+  Duration retryAfter() const;
   void log(FinishCause Cause, unsigned Status);
   std::string describeAttempts() const;
 
@@ -142,6 +146,9 @@
   TimePoint m_PartialResponseAt;
   TimePoint m_Deadline;
   Duration m_HedgeDelay{0};
+  /// Set if too few shards have a leaf that may be available soon: the time
+  /// after which enough of them may have one.
+  std::optional<Duration> m_AvailableIn;
   bool m_Finished = false;
   unsigned m_Hedges = 0;
   TimerService::Subscription m_Timer;
--- a/include/ragwortdrift/dispatch/dispatcher.hpp
+++ b/include/ragwortdrift/dispatch/dispatcher.hpp
@@ -3,6 +3,7 @@
 
 #include "ragwortdrift/base/log.hpp"
 #include "ragwortdrift/base/metrics.hpp"
+#include "ragwortdrift/dispatch/config_switch.hpp"
 #include "ragwortdrift/dispatch/leaf_observation.hpp"
 #include "ragwortdrift/dispatch/leaf_pool.hpp"
 #include "ragwortdrift/dispatch/leaf_protocol.hpp"
@@ -24,6 +25,9 @@
   Duration m_RetryWindow = std::chrono::seconds(10);
   /// Requests in flight above which new ones are refused.
   std::size_t m_MaxInFlight = 400;
+  /// Longest time for which a new configuration is held while its services
+  /// cannot serve as well as those in force.
+  Duration m_MaxConfigDelay{0};
   /// One-way delay of a response from this VM to its caller.
   Duration m_CallerDelay = std::chrono::milliseconds(3);
 };
@@ -54,9 +58,21 @@
   Dispatcher(const Dispatcher &) = delete;
   Dispatcher &operator=(const Dispatcher &) = delete;
 
-  /// Applies a configuration to requests that arrive from now on. Ignored
-  /// unless its version is newer than the current one.
+  /// Applies a configuration to requests that arrive from now on, or holds it
+  /// until its services are ready (see ConfigSwitch). Ignored unless its
+  /// version is newer than those before.
   void setRoutes(std::shared_ptr<const RouteTable> Routes);
+  /// Applies a held configuration that is due. Called periodically while
+  /// holdsRoutes().
+  void applyHeldRoutes();
+  bool holdsRoutes() const { return m_ConfigSwitch.held() != nullptr; }
+  /// Configuration in force, null before the first one.
+  const std::shared_ptr<const RouteTable> &routes() const {
+    return m_ConfigSwitch.current();
+  }
+  /// Returns the services of the configuration in force and of the one that is
+  /// held; the latter has precedence.
+  std::vector<RoutedService> services() const;
   void setLeafs(const LeafList &List);
   void setDomainsOut(const std::set<FailureDomain> &Out);
   /// Sets the number of entry VMs that share the retry budgets and the leaf
@@ -68,8 +84,9 @@
   std::vector<LeafObservation> takeObservations();
   /// Returns the connections and leafs of a service that this VM may use.
   LeafShare share(const RoutedService &Service) const;
-  /// Returns true if a leaf belongs to the subset that this VM uses.
-  bool inSubset(const LeafId &Id) const;
+  /// Returns the leafs of the local failure domain that this VM uses, or will
+  /// use with the configuration that it holds.
+  std::vector<ListedLeaf> preferredLeafs() const;
   /// Called when a leaf closes an idle connection early, which may mean that it
   /// was restarted.
   void onIdleClose(const LeafId &Id);
@@ -81,7 +98,7 @@
 
   /// Returns true if requests can be served: a configuration and a leaf list
   /// were received and this VM is not isolated.
-  bool ready() const { return m_Routes && !m_Leafs.empty() && !m_Isolated; }
+  bool ready() const { return routes() && !m_Leafs.empty() && !m_Isolated; }
   /// Returns true if leafs of other failure domains are unreachable and those
   /// of the local domain cannot serve all routes. Other VMs should then serve
   /// the callers.
@@ -111,12 +128,18 @@
   /// this VM and the rest during the second window.
   double burst() const;
   void selectSubsets();
+  void onRoutesChanged();
+  const RoutedService *findService(const ServiceName &Name) const;
   /// Records the outcome of an attempt, locally and for the other VMs.
   void recordResponse(LeafView &Leaf, double RelativeLatency);
   void recordFailure(LeafView &Leaf);
   /// Records whether a leaf could be reached at all.
   void onReachable(const LeafView &Leaf);
   void onUnreachable(const LeafView &Leaf);
+  /// Probes a leaf of another failure domain from time to time. Called when a
+  /// request is refused although some of its shards have available leafs, since
+  /// nothing else would then show that those are reachable.
+  void checkOtherDomains(const Route &Target);
   bool canServe(const Route &Target) const;
 
   TimerService &m_Timers;
@@ -125,7 +148,7 @@
   DispatchOptions m_Options;
   std::mt19937_64 m_Engine;
   TimePoint m_StartedAt;
-  std::shared_ptr<const RouteTable> m_Routes;
+  ConfigSwitch m_ConfigSwitch;
   LeafDirectory m_Leafs;
   struct Budget {
     HedgeBudget m_Tokens;
@@ -142,6 +165,7 @@
   /// Reachability of leafs in other failure domains.
   TimePoint m_OtherDomainsReachedAt;
   std::size_t m_OtherDomainFailures = 0;
+  TimePoint m_OtherDomainsCheckedAt;
   bool m_Isolated = false;
   MetricsRegistry m_Metrics;
   DecisionLog m_Log;
--- a/include/ragwortdrift/dispatch/leaf_view.hpp
+++ b/include/ragwortdrift/dispatch/leaf_view.hpp
@@ -43,8 +43,12 @@
   bool inSubset() const { return m_InSubset; }
 
   /// An unverified leaf receives no requests until a health probe succeeds.
-  void setVerified(bool Verified) { m_Verified = Verified; }
+  void setVerified(bool Verified);
+  void onProbeFailed() { m_ProbeFailed = true; }
   void setRemainingWarmUp(TimePoint Now, Duration Remaining);
+  /// Returns the time until the leaf may be available, 0 if it is or may be at
+  /// any moment. Returns nothing if that is unknown.
+  std::optional<Duration> availableIn(TimePoint Now) const;
 
   void onAttemptStarted() { ++m_OpenAttempts; }
   /// Called when an attempt has been open for longer than the hedge delay.
@@ -81,6 +85,8 @@
   bool m_DomainOut = false;
   bool m_InSubset = true;
   bool m_Verified = true;
+  /// True if the leaf is unverified and the last probe has failed.
+  bool m_ProbeFailed = false;
   TimePoint m_WarmUpEnd;
   unsigned m_OpenAttempts = 0;
   unsigned m_OverdueAttempts = 0;
@@ -113,7 +119,9 @@
   /// its local domain first, the rest in an order that differs between VMs.
   void selectSubset(const ServiceName &Service, std::size_t Count,
                     const VmId &Self, const FailureDomain &LocalDomain);
-  std::size_t leafCount(const ServiceName &Service) const;
+  std::size_t leafCount(const ServiceName &Service) const {
+    return leafs(Service).size();
+  }
 
   /// Returns the available leaf with the lowest cost that is not in Excluded,
   /// or null. Ties are broken at random. A leaf outside the subset is chosen
@@ -124,7 +132,15 @@
          const std::vector<std::shared_ptr<LeafView>> &Excluded,
          std::mt19937_64 &Engine) const;
   std::shared_ptr<LeafView> find(const LeafId &Id) const;
+  const LeafViews &leafs(const ServiceName &Service) const;
   bool hasUsable(const ServiceName &Service, TimePoint Now) const;
+  /// Returns true if at least half of the leafs that a service has in the
+  /// failure domains in use are available. Draining leafs do not count.
+  bool isReady(const ServiceName &Service, TimePoint Now) const;
+  /// Returns the time until the first leaf of a service may be available, or
+  /// nothing if that is unknown.
+  std::optional<Duration> availableIn(const ServiceName &Service,
+                                      TimePoint Now) const;
   bool empty() const { return m_Leafs.empty(); }
   std::size_t size() const { return m_Leafs.size(); }
 
--- a/include/ragwortdrift/fleet/entry_traffic.hpp
+++ b/include/ragwortdrift/fleet/entry_traffic.hpp
@@ -39,6 +39,10 @@
   void onReadinessRequest(const std::shared_ptr<HttpExchange> &Exchange);
   void onMetricsRequest(const std::shared_ptr<HttpExchange> &Exchange);
   void updateConnectionLimits();
+  /// Opens connections ahead to the leafs that this VM prefers.
+  void preconnect();
+  /// Applies a held configuration once it is due.
+  void checkHeldRoutes();
   void finishStopIfDrained();
 
   FleetSettings m_Settings;
@@ -50,11 +54,11 @@
   HttpServer m_CallerServer;
   HttpServer m_ReadinessServer;
   HttpServer m_MetricsServer;
-  std::shared_ptr<const RouteTable> m_Routes;
   bool m_Stopping = false;
   TimePoint m_StopStartedAt;
   std::function<void()> m_OnStopped;
   std::vector<TimerService::Subscription> m_Periodic;
+  TimerService::Subscription m_HeldRoutesTimer;
 };
 
 } // namespace ragwortdrift
--- a/include/ragwortdrift/fleet/fleet_settings.hpp
+++ b/include/ragwortdrift/fleet/fleet_settings.hpp
@@ -38,6 +38,8 @@
   double m_RetryRatio = 0.2;
   double m_RetrySlack = 50;
   Duration m_RetryWindow = std::chrono::seconds(10);
+  /// Time within which an accepted configuration must be in force on all VMs.
+  Duration m_ConfigPropagation{0};
   /// Maximum time from SIGTERM to the exit of the process.
   Duration m_StopTime = std::chrono::seconds(6);
   LogSeverity m_LogLevel = LogSeverity::Info;
--- a/src/ragwortdrift/dispatch/active_request.cpp
+++ b/src/ragwortdrift/dispatch/active_request.cpp
@@ -23,6 +23,9 @@
 /// A sub-request that cannot be sent fails this long after the start of its
 /// request. A leaf under verification is back within one probe, about 10 ms.
 constexpr std::chrono::milliseconds UnsendableTimeout{60};
+/// Time after which a request is worth another attempt if all leafs of a shard
+/// leave or are out of service.
+constexpr std::chrono::milliseconds UnknownReturnDelay{500};
 /// Sends per sub-request, refused ones included: two rounds over the three
 /// replicas of a shard.
 constexpr std::size_t MaxSendsPerSubRequest = 6;
@@ -108,13 +111,36 @@
   m_Self = shared_from_this();
   ++m_Owner.m_InFlight;
   m_HedgeDelay = hedgeDelay();
-  for (std::size_t I = 0; I < m_SubRequests.size(); ++I) {
+  failUnavailable();
+  for (std::size_t I = 0; I < m_SubRequests.size() && !m_AvailableIn; ++I) {
     m_Owner.budget(m_SubRequests[I].m_Service).onFirstRequest();
-    send(I);
+    if (m_SubRequests[I].isOpen())
+      send(I);
   }
   finishIfDecided();
 }
 
+void ActiveRequest::failUnavailable() {
+  std::vector<Duration> Delays;
+  for (SubRequest &Sub : m_SubRequests) {
+    const auto Delay =
+        m_Owner.m_Leafs.availableIn(Sub.m_Service, timers().now());
+    if (Delay && *Delay <= UnsendableTimeout)
+      continue;
+    Sub.m_Failed = true;
+    Delays.push_back(Delay.value_or(UnknownReturnDelay));
+  }
+  // The request can be served when all but as many shards as may be missing are
+  // available.
+  const std::size_t Optional =
+      m_SubRequests.size() - requiredResponses(m_Route);
+  if (Delays.size() <= Optional)
+    return;
+  std::sort(Delays.begin(), Delays.end());
+  m_AvailableIn = Delays[Delays.size() - 1 - Optional];
+  m_Owner.checkOtherDomains(m_Route);
+}
+
 void ActiveRequest::cancel() {
   const auto Self = shared_from_this();
   m_Self.reset();
--- a/src/ragwortdrift/dispatch/active_request_response.cpp
+++ b/src/ragwortdrift/dispatch/active_request_response.cpp
@@ -14,8 +14,11 @@
 /// Attempts still open after the response get this long to complete, so that
 /// their connections can be reused. Leafs pause for 120 ms.
 constexpr std::chrono::milliseconds AttemptGracePeriod{150};
-/// Retry-After when no leaf could execute the request.
+/// Retry-After when no leaf could execute the request and it is not known when
+/// one can.
 constexpr std::chrono::milliseconds RefusalRetryAfter{100};
+/// Callers that are refused until a known time return spread over this period.
+constexpr std::chrono::milliseconds ReturnSpread{200};
 
 } // namespace
 
@@ -87,13 +90,21 @@
 HttpResponse ActiveRequest::failureResponse(FinishCause Cause) const {
   if (noneExecuted())
     return notExecutedResponse("no leaf could execute the request",
-                               RefusalRetryAfter);
+                               retryAfter());
   return jsonResponse(Cause == FinishCause::Deadline ? 504 : 502,
                       Cause == FinishCause::Deadline
                           ? R"({"error":"deadline_exceeded","not_run":false})"
                           : R"({"error":"leaf_failed","not_run":false})");
 }
 
+Duration ActiveRequest::retryAfter() const {
+  if (!m_AvailableIn)
+    return RefusalRetryAfter;
+  std::uniform_int_distribution<Duration::rep> Spread(
+      0, Duration(ReturnSpread).count());
+  return *m_AvailableIn + Duration(Spread(m_Owner.m_Engine));
+}
+
 std::string ActiveRequest::describeAttempts() const {
   std::string Out;
   for (const SubRequest &Item : m_SubRequests) {
--- a/src/ragwortdrift/dispatch/dispatcher.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher.cpp
@@ -48,21 +48,36 @@
                        LeafProtocol Protocol, DispatchOptions Options,
                        std::uint64_t Seed)
     : m_Timers(Timers), m_Transport(Transport), m_Protocol(std::move(Protocol)),
-      m_Options(std::move(Options)), m_Engine(Seed), m_StartedAt(Timers.now()) {
-}
+      m_Options(std::move(Options)), m_Engine(Seed), m_StartedAt(Timers.now()),
+      m_ConfigSwitch(m_Options.m_MaxConfigDelay) {}
 
 Dispatcher::~Dispatcher() = default;
 
 void Dispatcher::setRoutes(std::shared_ptr<const RouteTable> Routes) {
-  if (m_Routes && Routes->config().m_Version <= m_Routes->config().m_Version)
-    return;
+  m_ConfigSwitch.receive(std::move(Routes), m_Timers.now());
+  applyHeldRoutes();
+  if (holdsRoutes()) {
+    logEvent(LogSeverity::Info, "routes.held",
+             {{"version", m_ConfigSwitch.held()->config().m_Version},
+              {"in_force", routes()->config().m_Version}});
+    selectSubsets();
+  }
+}
+
+void Dispatcher::applyHeldRoutes() {
+  const auto IsReady = [this](const ServiceName &Service) {
+    return m_Leafs.isReady(Service, m_Timers.now());
+  };
+  if (m_ConfigSwitch.apply(m_Timers.now(), IsReady))
+    onRoutesChanged();
+}
+
+void Dispatcher::onRoutesChanged() {
   logEvent(LogSeverity::Info, "routes.in_force",
-           {{"version", Routes->config().m_Version},
-            {"before", m_Routes ? m_Routes->config().m_Version : 0},
-            {"routes", Routes->config().m_Routes.size()}});
-  m_Routes = std::move(Routes);
+           {{"version", routes()->config().m_Version},
+            {"routes", routes()->config().m_Routes.size()}});
   std::map<std::string, RouteStats> NextStats;
-  for (const Route &Item : m_Routes->config().m_Routes) {
+  for (const Route &Item : routes()->config().m_Routes) {
     RouteStats &Stats = NextStats[Item.m_Name];
     const auto OldStats = m_Stats.find(Item.m_Name);
     if (OldStats != m_Stats.end())
@@ -75,20 +90,52 @@
   selectSubsets();
 }
 
+std::vector<RoutedService> Dispatcher::services() const {
+  std::map<ServiceName, RoutedService> Services;
+  for (const auto &Table : {m_ConfigSwitch.held(), m_ConfigSwitch.current()})
+    if (Table)
+      for (const RoutedService &Item : Table->config().m_Services)
+        Services.emplace(Item.m_Name, Item);
+  std::vector<RoutedService> Out;
+  Out.reserve(Services.size());
+  for (auto &[Name, Item] : Services)
+    Out.push_back(std::move(Item));
+  return Out;
+}
+
+const RoutedService *Dispatcher::findService(const ServiceName &Name) const {
+  for (const auto &Table : {m_ConfigSwitch.held(), m_ConfigSwitch.current()})
+    if (const RoutedService *Found = Table ? Table->service(Name) : nullptr)
+      return Found;
+  return nullptr;
+}
+
 LeafShare Dispatcher::share(const RoutedService &Service) const {
   return leafShare(Service.m_MaxConnections, m_Leafs.leafCount(Service.m_Name),
                    m_EntryCount);
 }
 
-bool Dispatcher::inSubset(const LeafId &Id) const {
-  const auto View = m_Leafs.find(Id);
-  return View && View->inSubset();
+std::vector<ListedLeaf> Dispatcher::preferredLeafs() const {
+  std::vector<ListedLeaf> Out;
+  const TimePoint Now = m_Timers.now();
+  for (const RoutedService &Service : services()) {
+    // A leaf of a held configuration is cold and idle, which is the best time
+    // to connect to it.
+    const bool IsHeld = !routes() || !routes()->service(Service.m_Name);
+    for (const auto &View : m_Leafs.leafs(Service.m_Name)) {
+      const LeafExclusion Exclusion = View->exclusion(Now);
+      const bool MayConnect = Exclusion == LeafExclusion::None ||
+                              (IsHeld && Exclusion == LeafExclusion::Cold);
+      if (MayConnect && View->inSubset() &&
+          View->listed().m_Domain == m_Options.m_Domain)
+        Out.push_back(View->listed());
+    }
+  }
+  return Out;
 }
 
 void Dispatcher::selectSubsets() {
-  if (!m_Routes)
-    return;
-  for (const RoutedService &Item : m_Routes->config().m_Services)
+  for (const RoutedService &Item : services())
     m_Leafs.selectSubset(Item.m_Name, share(Item).m_Leafs, m_Options.m_Vm,
                          m_Options.m_Domain);
 }
@@ -187,18 +234,22 @@
                 {{"request", Request[m_Protocol.m_RequestId]},
                  {"status", Response.result_int()},
                  {"cause", Cause},
-                 {"version", m_Routes ? m_Routes->config().m_Version : 0},
+                 {"version", routes() ? routes()->config().m_Version : 0},
                  {"in_flight", m_InFlight}});
     OnResponse(std::move(Response));
     return std::shared_ptr<ActiveRequest>();
   };
-  if (!m_Routes)
+  // A process that was paused may have missed the check of a held
+  // configuration.
+  if (holdsRoutes())
+    applyHeldRoutes();
+  if (!routes())
     return Refuse(notExecutedResponse("no routing configuration received yet",
                                       StartRetryAfter),
                   "no_configuration");
   const auto Host = Request[http::field::host];
   const auto Target = Request.target();
-  const Route *MatchedRoute = m_Routes->find({Host.data(), Host.size()},
+  const Route *MatchedRoute = routes()->find({Host.data(), Host.size()},
                                              {Target.data(), Target.size()});
   if (!MatchedRoute)
     return Refuse(
@@ -218,7 +269,7 @@
         notExecutedResponse("too many requests in flight", BusyRetryAfter),
         "overloaded");
   auto NewRequest =
-      std::make_shared<ActiveRequest>(*this, m_Routes, *MatchedRoute, Request,
+      std::make_shared<ActiveRequest>(*this, routes(), *MatchedRoute, Request,
                                       *CallerTimeout, std::move(OnResponse));
   NewRequest->start();
   return NewRequest;
--- a/src/ragwortdrift/dispatch/leaf_verification.cpp
+++ b/src/ragwortdrift/dispatch/leaf_verification.cpp
@@ -15,6 +15,9 @@
 /// consecutive failures.
 constexpr std::chrono::milliseconds IsolationThreshold{500};
 constexpr std::size_t IsolationFailureCount = 10;
+/// Interval of the probes that replace requests as evidence; several fit into
+/// the threshold.
+constexpr std::chrono::milliseconds OtherDomainCheckInterval{150};
 /// A probe waits for a slot like any request, so its time-out exceeds a pause.
 constexpr std::chrono::milliseconds ProbeTimeout{400};
 /// A restart takes a leaf several seconds. The first retries detect a leaf that
@@ -50,8 +53,7 @@
 
 void Dispatcher::probe(const std::shared_ptr<LeafView> &View,
                        Duration RetryDelay) {
-  const RoutedService *Service =
-      m_Routes ? m_Routes->service(View->listed().m_Service) : nullptr;
+  const RoutedService *Service = findService(View->listed().m_Service);
   const LeafExclusion Exclusion = View->exclusion(m_Timers.now());
   if (Exclusion == LeafExclusion::Draining ||
       Exclusion == LeafExclusion::DomainOut || !Service) {
@@ -98,6 +100,7 @@
                {"error", isOk(Outcome) ? std::string_view()
                                        : nameOf(errorOf(Outcome).m_Code)}});
   if (!Healthy) {
+    View->onProbeFailed();
     m_Probes[Id] = m_Timers.after(RetryDelay, [this, View, RetryDelay] {
       probe(View, std::min<Duration>(2 * RetryDelay, MaxProbeRetryDelay));
     });
@@ -120,6 +123,20 @@
     ++m_OtherDomainFailures;
 }
 
+void Dispatcher::checkOtherDomains(const Route &Target) {
+  const TimePoint Now = m_Timers.now();
+  if (Now - m_OtherDomainsCheckedAt < OtherDomainCheckInterval)
+    return;
+  for (const WeightedService &Item : Target.m_Services)
+    for (const auto &View : m_Leafs.leafs(Item.m_Service))
+      if (View->listed().m_Domain != m_Options.m_Domain &&
+          View->exclusion(Now) == LeafExclusion::None) {
+        m_OtherDomainsCheckedAt = Now;
+        verify(View, "no requests to other domains");
+        return;
+      }
+}
+
 bool Dispatcher::canServe(const Route &Target) const {
   const auto Usable = static_cast<std::size_t>(
       std::count_if(Target.m_Services.begin(), Target.m_Services.end(),
@@ -130,9 +147,9 @@
 }
 
 void Dispatcher::checkIsolation() {
-  if (!m_Routes)
+  if (!routes())
     return;
-  const std::vector<Route> &Routes = m_Routes->config().m_Routes;
+  const std::vector<Route> &Routes = routes()->config().m_Routes;
   const bool OthersUnreachable =
       m_OtherDomainFailures >= IsolationFailureCount &&
       m_Timers.now() - m_OtherDomainsReachedAt >= IsolationThreshold;
--- a/src/ragwortdrift/dispatch/leaf_view.cpp
+++ b/src/ragwortdrift/dispatch/leaf_view.cpp
@@ -38,6 +38,9 @@
 /// Estimates of a leaf arrive every 250 ms while it is slow or failing. After a
 /// gap of this length the next one begins a new episode, which is logged.
 constexpr std::chrono::seconds EpisodeGap{1};
+/// Time until the next probe of a leaf that has failed one may succeed: half of
+/// the longest interval between probes.
+constexpr std::chrono::milliseconds NextProbeDelay{300};
 /// Costs that differ by less than this count as equal.
 constexpr double CostTolerance = 0.15;
 
@@ -70,6 +73,26 @@
   return Restarted;
 }
 
+void LeafView::setVerified(bool Verified) {
+  m_Verified = Verified;
+  m_ProbeFailed = false;
+}
+
+std::optional<Duration> LeafView::availableIn(TimePoint Now) const {
+  switch (exclusion(Now)) {
+  case LeafExclusion::None:
+    return Duration{0};
+  case LeafExclusion::Unverified:
+    return m_ProbeFailed ? Duration{NextProbeDelay} : Duration{0};
+  case LeafExclusion::Cold:
+    return m_WarmUpEnd - Now;
+  case LeafExclusion::Draining:
+  case LeafExclusion::DomainOut:
+    break;
+  }
+  return std::nullopt;
+}
+
 void LeafView::setRemainingWarmUp(TimePoint Now, Duration Remaining) {
   m_WarmUpEnd = std::max(m_WarmUpEnd, Now + Remaining);
 }
@@ -177,23 +200,22 @@
   return ToVerify;
 }
 
-std::size_t LeafDirectory::leafCount(const ServiceName &Service) const {
+const LeafDirectory::LeafViews &
+LeafDirectory::leafs(const ServiceName &Service) const {
+  static const LeafViews None;
   const auto Leafs = m_Services.find(Service);
-  return Leafs == m_Services.end() ? 0 : Leafs->second.size();
+  return Leafs == m_Services.end() ? None : Leafs->second;
 }
 
 void LeafDirectory::selectSubset(const ServiceName &Service, std::size_t Count,
                                  const VmId &Self,
                                  const FailureDomain &LocalDomain) {
-  const auto Leafs = m_Services.find(Service);
-  if (Leafs == m_Services.end())
-    return;
   const auto Rank = [&](const std::shared_ptr<LeafView> &View) {
     const ListedLeaf &Listed = View->listed();
     return std::pair(Listed.m_Domain != LocalDomain,
                      stableHash(Self.m_Value, stableHash(Listed.m_Id.m_Value)));
   };
-  auto SortedLeafs = Leafs->second;
+  LeafViews SortedLeafs = leafs(Service);
   std::sort(SortedLeafs.begin(), SortedLeafs.end(),
             [&](const auto &A, const auto &B) { return Rank(A) < Rank(B); });
   for (std::size_t I = 0; I < SortedLeafs.size(); ++I)
@@ -205,13 +227,10 @@
                       const FailureDomain &LocalDomain,
                       const std::vector<std::shared_ptr<LeafView>> &Excluded,
                       std::mt19937_64 &Engine) const {
-  const auto Leafs = m_Services.find(Service);
-  if (Leafs == m_Services.end())
-    return nullptr;
   std::shared_ptr<LeafView> Best;
   double BestCost = 0;
   std::size_t TieCount = 0;
-  for (const auto &View : Leafs->second) {
+  for (const auto &View : leafs(Service)) {
     if (View->exclusion(Now) != LeafExclusion::None ||
         std::find(Excluded.begin(), Excluded.end(), View) != Excluded.end())
       continue;
@@ -230,12 +249,32 @@
 }
 
 bool LeafDirectory::hasUsable(const ServiceName &Service, TimePoint Now) const {
-  const auto Leafs = m_Services.find(Service);
-  return Leafs != m_Services.end() &&
-         std::any_of(Leafs->second.begin(), Leafs->second.end(),
-                     [&](const auto &View) {
-                       return View->exclusion(Now) == LeafExclusion::None;
-                     });
+  const LeafViews &Leafs = leafs(Service);
+  return std::any_of(Leafs.begin(), Leafs.end(), [&](const auto &View) {
+    return View->exclusion(Now) == LeafExclusion::None;
+  });
+}
+
+bool LeafDirectory::isReady(const ServiceName &Service, TimePoint Now) const {
+  std::size_t Available = 0, Total = 0;
+  for (const auto &View : leafs(Service)) {
+    const LeafExclusion Exclusion = View->exclusion(Now);
+    if (Exclusion == LeafExclusion::Draining ||
+        Exclusion == LeafExclusion::DomainOut)
+      continue;
+    ++Total;
+    Available += Exclusion == LeafExclusion::None ? 1 : 0;
+  }
+  return Available > 0 && 2 * Available >= Total;
+}
+
+std::optional<Duration> LeafDirectory::availableIn(const ServiceName &Service,
+                                                   TimePoint Now) const {
+  std::optional<Duration> Earliest;
+  for (const auto &View : leafs(Service))
+    if (const auto Delay = View->availableIn(Now))
+      Earliest = std::min(Earliest.value_or(*Delay), *Delay);
+  return Earliest;
 }
 
 std::shared_ptr<LeafView> LeafDirectory::find(const LeafId &Id) const {
--- a/src/ragwortdrift/fleet/entry_traffic.cpp
+++ b/src/ragwortdrift/fleet/entry_traffic.cpp
@@ -33,13 +33,20 @@
 /// Interval between checks that the last request has ended.
 constexpr std::chrono::milliseconds StopCheckInterval{50};
 
+/// Interval between checks whether a held configuration is due.
+constexpr std::chrono::milliseconds HeldConfigCheckInterval{50};
+/// Share of the propagation time of a configuration for which an entry VM may
+/// hold it. The rest covers the time from its acceptance until it is received.
+constexpr double HeldConfigShare = 0.65;
+
 HttpLimits makeHttpLimits(const CallerLimits &Caller) {
   using std::chrono::ceil;
   using std::chrono::seconds;
   HttpLimits Limits;
   Limits.m_MaxHeaderBytes = Caller.m_MaxHeaderBytes;
   Limits.m_MaxBodyBytes = Caller.m_MaxBodyBytes;
-  Limits.m_HeaderTimeout = ceil<seconds>(Caller.m_IdleTimeout);
+  Limits.m_IdleTimeout = ceil<seconds>(Caller.m_IdleTimeout);
+  Limits.m_HeaderTimeout = ceil<seconds>(Caller.m_HeaderTimeout);
   Limits.m_MaxConnections = MaxCallerConnections;
   return Limits;
 }
@@ -51,6 +58,9 @@
   Options.m_RetryRatio = Settings.m_RetryRatio;
   Options.m_RetrySlack = Settings.m_RetrySlack;
   Options.m_RetryWindow = Settings.m_RetryWindow;
+  Options.m_MaxConfigDelay = Duration(static_cast<Duration::rep>(
+      HeldConfigShare *
+      static_cast<double>(Settings.m_ConfigPropagation.count())));
   return Options;
 }
 
@@ -111,9 +121,18 @@
 
 void EntryTraffic::setRoutes(std::shared_ptr<const RouteTable> Routes) {
   m_CallerServer.setLimits(makeHttpLimits(Routes->config().m_Limits));
-  m_Routes = Routes;
   m_Dispatcher.setRoutes(std::move(Routes));
   updateConnectionLimits();
+  preconnect();
+  checkHeldRoutes();
+}
+
+void EntryTraffic::checkHeldRoutes() {
+  m_HeldRoutesTimer.reset();
+  m_Dispatcher.applyHeldRoutes();
+  if (m_Dispatcher.holdsRoutes())
+    m_HeldRoutesTimer =
+        m_Timers.after(HeldConfigCheckInterval, [this] { checkHeldRoutes(); });
 }
 
 void EntryTraffic::setDomainsOut(const std::set<FailureDomain> &Domains) {
@@ -123,14 +142,14 @@
 void EntryTraffic::setLeafs(const LeafList &List) {
   m_Dispatcher.setLeafs(List);
   updateConnectionLimits();
-  // Leafs of the local failure domain are preferred. Opening a connection costs
-  // a leaf several milliseconds, which would delay the first requests.
-  for (const ListedLeaf &Leaf : List)
-    if (Leaf.m_Domain == m_Settings.m_Domain &&
-        Leaf.m_State == ListedState::Ready &&
-        Leaf.m_RemainingWarmUp == Duration{0} && m_Routes &&
-        m_Routes->service(Leaf.m_Service) && m_Dispatcher.inSubset(Leaf.m_Id))
-      m_Pool.preconnect(Leaf);
+  preconnect();
+}
+
+void EntryTraffic::preconnect() {
+  // Opening a connection costs a leaf several milliseconds, which would delay
+  // the first requests.
+  for (const ListedLeaf &Leaf : m_Dispatcher.preferredLeafs())
+    m_Pool.preconnect(Leaf);
 }
 
 void EntryTraffic::setEntryCount(std::size_t Count) {
@@ -153,9 +172,7 @@
 }
 
 void EntryTraffic::updateConnectionLimits() {
-  if (!m_Routes)
-    return;
-  for (const RoutedService &Service : m_Routes->config().m_Services)
+  for (const RoutedService &Service : m_Dispatcher.services())
     m_Pool.setConnectionLimit(Service.m_Name,
                               m_Dispatcher.share(Service).m_Connections);
 }
@@ -196,8 +213,9 @@
       .set(static_cast<double>(m_Pool.connectionsOpened()));
   Metrics.gauge("ragwortdrift_caller_connections")
       .set(static_cast<double>(m_CallerServer.connections()));
+  const auto &Routes = m_Dispatcher.routes();
   Metrics.gauge("ragwortdrift_config_version")
-      .set(static_cast<double>(m_Routes ? m_Routes->config().m_Version : 0));
+      .set(static_cast<double>(Routes ? Routes->config().m_Version : 0));
   HttpResponse Response{boost::beast::http::status::ok, 11};
   Response.set(boost::beast::http::field::content_type,
                "text/plain; version=0.0.4");
--- a/src/ragwortdrift/fleet/fleet_settings.cpp
+++ b/src/ragwortdrift/fleet/fleet_settings.cpp
@@ -105,6 +105,16 @@
   };
 }
 
+template <auto Member> Parser millisecondsParser(double Max) {
+  return [Max](FleetSettings &Settings, const std::string &Text) -> ParseError {
+    const auto Value = detail::parseDecimal(Text);
+    if (!Value || *Value < 0 || *Value > Max)
+      return expected("milliseconds from 0 to " + std::to_string(Max));
+    Settings.*Member = Duration(static_cast<Duration::rep>(*Value * 1e3));
+    return std::nullopt;
+  };
+}
+
 template <auto Member> Parser flagParser() {
   return [](FleetSettings &Settings, const std::string &Text) -> ParseError {
     if (Text != "true" && Text != "false")
@@ -165,6 +175,8 @@
       {"repeats", "slack", false, decimalParser<&S::m_RetrySlack>(0, 1e6)},
       {"repeats", "window_s", false,
        secondsParser<&S::m_RetryWindow>(MaxSeconds)},
+      {"configuration", "propagation_ms", false,
+       millisecondsParser<&S::m_ConfigPropagation>(1000 * MaxSeconds)},
       {"stop", "time_s", false, secondsParser<&S::m_StopTime>(MaxSeconds)},
       {"log", "level", false, parseLogLevel},
   };
--- a/src/ragwortdrift/fleet/fleet_settings_test.cpp
+++ b/src/ragwortdrift/fleet/fleet_settings_test.cpp
@@ -30,6 +30,8 @@
 [repeats]
 ratio = 0.2
 slack = 52
+[configuration]
+propagation_ms = 3000
 [stop]
 time_s = 6
 [new_section]
@@ -55,6 +57,8 @@
      "ratio"},
     {"text for a number", "time_s = 6", "time_s = soon",
      ConfigErrorCode::BadValue, "time_s"},
+    {"negative time", "propagation_ms = 3000", "propagation_ms = -1",
+     ConfigErrorCode::BadValue, "propagation_ms"},
     {"text for a flag", "form = true", "form = 1", ConfigErrorCode::BadValue,
      "form"},
     {"no list", "address = 10.0.0.9:8229\n", "", ConfigErrorCode::MissingKey,
@@ -78,6 +82,7 @@
   cr_assert(Settings.m_Cores ==
             std::vector<Endpoint>({{"10.0.0.2", 7000}, {"10.0.0.3", 7000}}));
   cr_assert_eq(Settings.m_RetrySlack, 52);
+  cr_assert(Settings.m_ConfigPropagation == 3s);
   cr_assert(Settings.m_StopTime == 6s);
 }
 
