Hedge the stragglers of a wide search by the answers of the same search; prefer connected leafs

Cause: on the large site an entry VM sends a leaf one request in 9 s. Its latency history mixes new connections and kept ones, so the hedge delay was 30 to 45 ms where the parts of the search at hand took 15 to 22 ms, and in searches whose parts were all late for a common reason up to 44 hedges spent the budgets that paused leafs needed later. It asked two leafs of a shard in turn, and every other request opened a connection, which costs 6 ms.

Change: StragglerDetector takes twice the median of the search at hand, once three quarters of its shards have answered; until then a hedge waits for 0.45 of the objective. Narrow searches and single requests keep the history. A leaf without an idle connection costs 0.2 medians, less than another domain.

Test: wide_search/hedges_straggler_when_other_shards_have_answered and does_not_hedge_shards_that_are_late_together cannot pass with one delay for both.

--- a/include/ragwortdrift/dispatch/active_request.hpp
+++ b/include/ragwortdrift/dispatch/active_request.hpp
@@ -2,6 +2,7 @@
 #define RAGWORTDRIFT_DISPATCH_ACTIVE_REQUEST_HPP
 
 #include "ragwortdrift/dispatch/dispatcher.hpp"
+#include "ragwortdrift/policy/straggler_detector.hpp"
 
 namespace ragwortdrift {
 
@@ -116,6 +117,9 @@
   void markOverdue(SubRequest &Sub);
   void armTimer();
   Duration hedgeDelay() const;
+  /// Brings the hedges of open shards forward once the other shards show that
+  /// they are stragglers.
+  void scheduleStragglerHedges();
 
   // Response.
   void finishIfDecided();
@@ -140,6 +144,7 @@
   HttpRequest m_RequestTemplate;
   Dispatcher::ResponseCallback m_OnResponse;
   std::vector<SubRequest> m_SubRequests;
+  StragglerDetector m_Stragglers;
   TimePoint m_StartedAt;
   /// Time from which a search with enough shards is answered without the
   /// missing ones.
--- a/include/ragwortdrift/dispatch/leaf_pool.hpp
+++ b/include/ragwortdrift/dispatch/leaf_pool.hpp
@@ -26,6 +26,8 @@
                              Duration Timeout, Callback OnResponse) = 0;
   /// Abandons a request and closes its connection.
   virtual void cancel(LeafRequestId Id) = 0;
+  /// Returns true if a request to the leaf would use an open connection.
+  virtual bool hasIdleConnection(const ListedLeaf &Leaf) const = 0;
 };
 
 /// Pool of persistent connections to leafs. A leaf accepts a limited number of
@@ -45,6 +47,7 @@
   LeafRequestId send(const ListedLeaf &Leaf, HttpRequest Request,
                      Duration Timeout, Callback OnResponse) override;
   void cancel(LeafRequestId Id) override;
+  bool hasIdleConnection(const ListedLeaf &Leaf) const override;
 
   /// Sets the number of connections that this VM may open to each leaf of a
   /// service.
--- a/include/ragwortdrift/dispatch/leaf_view.hpp
+++ b/include/ragwortdrift/dispatch/leaf_view.hpp
@@ -3,6 +3,7 @@
 
 #include "ragwortdrift/dispatch/leaf_list.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -123,6 +124,9 @@
     return leafs(Service).size();
   }
 
+  /// Returns true if a connection to a leaf is open and idle.
+  using ConnectionQuery = std::function<bool(const ListedLeaf &)>;
+
   /// Returns the available leaf with the lowest cost that is not in Excluded,
   /// or null. Ties are broken at random. A leaf outside the subset is chosen
   /// only if it costs clearly less.
@@ -130,7 +134,7 @@
   choose(const ServiceName &Service, TimePoint Now,
          const FailureDomain &LocalDomain,
          const std::vector<std::shared_ptr<LeafView>> &Excluded,
-         std::mt19937_64 &Engine) const;
+         const ConnectionQuery &IsConnected, std::mt19937_64 &Engine) const;
   std::shared_ptr<LeafView> find(const LeafId &Id) const;
   const LeafViews &leafs(const ServiceName &Service) const;
   bool hasUsable(const ServiceName &Service, TimePoint Now) const;
--- a/src/ragwortdrift/dispatch/active_request.cpp
+++ b/src/ragwortdrift/dispatch/active_request.cpp
@@ -71,7 +71,9 @@
                              Dispatcher::ResponseCallback OnResponse)
     : m_Owner(Owner), m_Routes(std::move(Routes)), m_Route(MatchedRoute),
       m_RequestId(Request[Owner.m_Protocol.m_RequestId]),
-      m_OnResponse(std::move(OnResponse)), m_StartedAt(Owner.m_Timers.now()) {
+      m_OnResponse(std::move(OnResponse)),
+      m_Stragglers(MatchedRoute.m_Services.size()),
+      m_StartedAt(Owner.m_Timers.now()) {
   m_RequestTemplate.method_string(Request.method_string());
   m_RequestTemplate.target(Request.target());
   m_RequestTemplate.version(11);
@@ -172,6 +174,8 @@
   const auto HedgeLatency =
       Stats.m_Latency.quantile(Now, HedgeQuantile, HedgeMinSamples);
   const auto Median = Stats.m_Latency.quantile(Now, 0.5, HedgeMinSamples);
+  if (m_Route.m_Kind == RouteKind::Search && m_Stragglers.isApplicable())
+    return ObjectiveShare(HedgeMaxShare);
   if (!HedgeLatency || !Median)
     return ObjectiveShare(HedgeDefaultShare);
   return std::min(
@@ -219,12 +223,16 @@
       PossiblyExecuted.push_back(Attempt.m_Leaf);
   }
   const FailureDomain &LocalDomain = m_Owner.m_Options.m_Domain;
+  const auto IsConnected = [&](const ListedLeaf &Target) {
+    return m_Owner.m_Transport.hasIdleConnection(Target);
+  };
   auto Leaf = m_Owner.m_Leafs.choose(Sub.m_Service, Now, LocalDomain,
-                                     TriedLeafs, m_Owner.m_Engine);
+                                     TriedLeafs, IsConnected, m_Owner.m_Engine);
   const bool IsSequentialRetry = !TriedLeafs.empty() && !hasOpenAttempt(Sub);
   if (!Leaf && IsSequentialRetry)
-    Leaf = m_Owner.m_Leafs.choose(Sub.m_Service, Now, LocalDomain,
-                                  PossiblyExecuted, m_Owner.m_Engine);
+    Leaf =
+        m_Owner.m_Leafs.choose(Sub.m_Service, Now, LocalDomain,
+                               PossiblyExecuted, IsConnected, m_Owner.m_Engine);
   // An attempt consumes a token only if an earlier one reached a leaf.
   const bool NeedsToken =
       std::any_of(Sub.m_Attempts.begin(), Sub.m_Attempts.end(),
@@ -351,16 +359,29 @@
   recordOutcome(Attempt, Outcome);
   if (m_Finished || !Sub.isOpen())
     return;
-  if (Attempt.m_Outcome == AttemptOutcome::Answered)
+  if (Attempt.m_Outcome == AttemptOutcome::Answered) {
     Sub.m_Response = std::move(valueOf(Outcome));
-  else if (Attempt.m_Outcome == AttemptOutcome::LeafFailed &&
-           m_Route.m_Kind == RouteKind::Single)
+    m_Stragglers.onAnswer(timers().now() - m_StartedAt);
+    scheduleStragglerHedges();
+  } else if (Attempt.m_Outcome == AttemptOutcome::LeafFailed &&
+             m_Route.m_Kind == RouteKind::Single)
     Sub.m_Failure = std::move(valueOf(Outcome));
   if (!Sub.m_Response)
     retryOrFail(SubRequestIndex);
   finishIfDecided();
 }
 
+void ActiveRequest::scheduleStragglerHedges() {
+  const auto Threshold = m_Stragglers.threshold();
+  if (m_Route.m_Kind != RouteKind::Search || !Threshold)
+    return;
+  m_HedgeDelay = std::min(m_HedgeDelay, *Threshold);
+  for (SubRequest &Sub : m_SubRequests)
+    if (Sub.isOpen() && Sub.m_HedgeAt && Sub.m_Attempts.size() == 1)
+      Sub.m_HedgeAt = std::min(*Sub.m_HedgeAt,
+                               Sub.m_Attempts.front().m_SentAt + m_HedgeDelay);
+}
+
 void ActiveRequest::retryOrFail(std::size_t SubRequestIndex) {
   SubRequest &Sub = m_SubRequests[SubRequestIndex];
   if (canRetry(Sub))
--- a/src/ragwortdrift/dispatch/dispatch_fixture.hpp
+++ b/src/ragwortdrift/dispatch/dispatch_fixture.hpp
@@ -32,6 +32,9 @@
     return Id;
   }
   void cancel(LeafRequestId Id) override { m_Cancelled += m_Open.erase(Id); }
+  bool hasIdleConnection(const ListedLeaf &Leaf) const override {
+    return !m_Unconnected.contains(Leaf.m_Id);
+  }
 
   void complete(LeafRequestId Id, Result<HttpResponse, HttpError> Outcome) {
     auto Node = m_Open.extract(Id);
@@ -58,6 +61,8 @@
 
   std::map<LeafRequestId, PendingRequest> m_Open;
   std::map<ServiceName, int> m_SendCounts;
+  /// Leafs without an idle connection.
+  std::set<LeafId> m_Unconnected;
   std::size_t m_Cancelled = 0;
   std::size_t m_ProbesSent = 0;
 
--- a/src/ragwortdrift/dispatch/leaf_pool.cpp
+++ b/src/ragwortdrift/dispatch/leaf_pool.cpp
@@ -124,6 +124,15 @@
     Item->m_Connection->close();
 }
 
+bool LeafPool::hasIdleConnection(const ListedLeaf &Leaf) const {
+  const auto Found = m_Leafs.find(Leaf.m_Id);
+  if (Found == m_Leafs.end() || Found->second->m_Address != Leaf.m_Address)
+    return false;
+  const auto &Idle = Found->second->m_IdleConnections;
+  return !Idle.empty() && Idle.back().m_Connection->usable() &&
+         m_Timers.now() - Idle.back().m_IdleSince < Idle.back().m_IdleTimeout;
+}
+
 void LeafPool::startNext(const LeafPtr &Upstream) {
   while (!Upstream->m_QueuedRequests.empty()) {
     const auto Item = Upstream->m_QueuedRequests.front();
--- a/src/ragwortdrift/dispatch/leaf_view.cpp
+++ b/src/ragwortdrift/dispatch/leaf_view.cpp
@@ -29,6 +29,9 @@
 /// Cost in medians of a leaf in another failure domain, for cross-domain
 /// traffic and latency; less than that of one more request in flight.
 constexpr double OtherDomainCost = 0.4;
+/// Cost in medians of a leaf to which a connection must be opened first. Less
+/// than that of a leaf in another domain, whose cost is more than latency.
+constexpr double ConnectCost = 0.2;
 /// Cost in medians of one waiting request per slot, as it is executed first.
 constexpr double QueueCost = 1;
 /// Cost in medians of a leaf outside this VM's subset. A connection to it may
@@ -222,11 +225,10 @@
     SortedLeafs[I]->setInSubset(I < Count);
 }
 
-std::shared_ptr<LeafView>
-LeafDirectory::choose(const ServiceName &Service, TimePoint Now,
-                      const FailureDomain &LocalDomain,
-                      const std::vector<std::shared_ptr<LeafView>> &Excluded,
-                      std::mt19937_64 &Engine) const {
+std::shared_ptr<LeafView> LeafDirectory::choose(
+    const ServiceName &Service, TimePoint Now, const FailureDomain &LocalDomain,
+    const std::vector<std::shared_ptr<LeafView>> &Excluded,
+    const ConnectionQuery &IsConnected, std::mt19937_64 &Engine) const {
   std::shared_ptr<LeafView> Best;
   double BestCost = 0;
   std::size_t TieCount = 0;
@@ -235,7 +237,8 @@
         std::find(Excluded.begin(), Excluded.end(), View) != Excluded.end())
       continue;
     const double Cost = View->cost(Now, LocalDomain) +
-                        (View->inSubset() ? 0 : OutsideSubsetCost);
+                        (View->inSubset() ? 0 : OutsideSubsetCost) +
+                        (IsConnected(View->listed()) ? 0 : ConnectCost);
     if (!Best || Cost < BestCost - CostTolerance) {
       Best = View;
       BestCost = Cost;
