Take no response without its id, count relay items once, match whole names in explain

Faults found by reading, each with a test that failed before: * A response of a leaf that lacks the request id counted as the right one at the connection, so a late copy could be passed on or keep its connection in use. It now counts as a response to another request: the connection is closed, and the request may have been executed. * A relay item that was answered and cancelled at once was counted twice, which ended the relay before its other items or let the count run below zero. RelayItems keeps the open items. (The class is new, so its test cannot fail on the former code.) * ragwortdriftctl explain printed the state of leaf i with a line that names i-1. A log line describes the attempts at a search up to 3,000 bytes and tells how many shards it omits, instead of being cut at 4 KiB in the middle.

ctl/online_commands_fail_over_and_report_the_outcome failed twice in 50 runs: its case 'nothing listens' closed the port it had reserved, and the server of a case that ran beside it got the port and answered ('revision: 6').

--- a/include/ragwortdrift/dispatch/leaf_pool.hpp
+++ b/include/ragwortdrift/dispatch/leaf_pool.hpp
@@ -37,9 +37,9 @@
 public:
   using IdleCloseCallback = std::function<void(const LeafId &)>;
 
-  /// RequestIdHeader names the header that a leaf echoes. A response that
-  /// echoes another id belongs to another request, and its connection is
-  /// closed.
+  /// RequestIdHeader names the header that a leaf echoes. A response that does
+  /// not echo the id of its request may belong to another one, and its
+  /// connection is closed.
   LeafPool(boost::asio::io_context &Io, TimerService &Timers,
            std::string RequestIdHeader);
   ~LeafPool() override;
--- a/src/ragwortdrift/dispatch/active_request_response.cpp
+++ b/src/ragwortdrift/dispatch/active_request_response.cpp
@@ -17,6 +17,9 @@
 /// Retry-After when no leaf could execute the request and it is not known when
 /// one can.
 constexpr std::chrono::milliseconds RefusalRetryAfter{100};
+/// Length from which the attempts at further shards are omitted from a log
+/// line, which is cut at 4 KiB.
+constexpr std::size_t MaxDescriptionBytes = 3000;
 /// Callers that are refused until a known time return spread over this period.
 constexpr std::chrono::milliseconds ReturnSpread{200};
 
@@ -107,10 +110,15 @@
 
 std::string ActiveRequest::describeAttempts() const {
   std::string Out;
+  std::size_t Omitted = 0;
   for (const SubRequest &Item : m_SubRequests) {
     const bool IsRoutine = Item.m_Response && Item.m_Attempts.size() == 1;
     if (IsRoutine)
       continue;
+    if (Out.size() > MaxDescriptionBytes) {
+      ++Omitted;
+      continue;
+    }
     Out += (Out.empty() ? "" : " ") + Item.m_Service.m_Value + "[";
     for (const LeafAttempt &Attempt : Item.m_Attempts) {
       const TimePoint End = Attempt.m_Outcome == AttemptOutcome::Open
@@ -124,6 +132,8 @@
     }
     Out += "]";
   }
+  if (Omitted > 0)
+    Out += " and " + std::to_string(Omitted) + " more";
   return Out;
 }
 
--- a/src/ragwortdrift/dispatch/leaf_pool.cpp
+++ b/src/ragwortdrift/dispatch/leaf_pool.cpp
@@ -38,13 +38,12 @@
   return std::chrono::seconds(Seconds);
 }
 
-/// Returns true if a response carries the id of another request.
-bool belongsToOtherRequest(const HttpResponse &Response,
-                           const std::string &IdHeader,
-                           const std::string &RequestId) {
-  const auto Field = Response.find(IdHeader);
-  return !RequestId.empty() && Field != Response.end() &&
-         Field->value() != RequestId;
+/// Returns false if a response does not carry the id of its request. It may
+/// then be a late response to an earlier request. Requests without an id are
+/// health probes.
+bool belongsToRequest(const HttpResponse &Response, const std::string &IdHeader,
+                      const std::string &RequestId) {
+  return RequestId.empty() || Response[IdHeader] == RequestId;
 }
 
 } // namespace
@@ -201,29 +200,29 @@
   const Duration RemainingTime =
       std::max<Duration>(Item->m_Deadline - m_Timers.now(), MinTimeout);
   std::string RequestId(Item->m_Http[m_RequestIdHeader]);
-  Conn->send(std::move(Item->m_Http), RemainingTime,
-             [this, Alive = std::weak_ptr(m_Alive), Upstream, Item, Conn,
-              RequestId](Result<HttpResponse, HttpError> Outcome) {
-               if (Alive.expired())
-                 return;
-               if (isOk(Outcome) &&
-                   belongsToOtherRequest(valueOf(Outcome), m_RequestIdHeader,
-                                         RequestId)) {
-                 Conn->close();
-                 Outcome = HttpError{HttpErrorCode::BadResponse, true,
-                                     "response to another request"};
-               }
-               if (Conn->usable()) {
-                 addIdle(Upstream, Conn,
-                         isOk(Outcome) ? announcedIdleTimeout(valueOf(Outcome))
-                                       : DefaultIdleTimeout,
-                         true);
-               } else {
-                 --Upstream->m_OpenConnections;
-               }
-               finish(Item, std::move(Outcome));
-               startNext(Upstream);
-             });
+  Conn->send(
+      std::move(Item->m_Http), RemainingTime,
+      [this, Alive = std::weak_ptr(m_Alive), Upstream, Item, Conn,
+       RequestId](Result<HttpResponse, HttpError> Outcome) {
+        if (Alive.expired())
+          return;
+        if (isOk(Outcome) &&
+            !belongsToRequest(valueOf(Outcome), m_RequestIdHeader, RequestId)) {
+          Conn->close();
+          Outcome = HttpError{HttpErrorCode::BadResponse, true,
+                              "response without the id of the request"};
+        }
+        if (Conn->usable()) {
+          addIdle(Upstream, Conn,
+                  isOk(Outcome) ? announcedIdleTimeout(valueOf(Outcome))
+                                : DefaultIdleTimeout,
+                  true);
+        } else {
+          --Upstream->m_OpenConnections;
+        }
+        finish(Item, std::move(Outcome));
+        startNext(Upstream);
+      });
 }
 
 void LeafPool::addIdle(const LeafPtr &Upstream, const Connection &Conn,
--- a/src/ragwortdrift/dispatch/leaf_pool_test.cpp
+++ b/src/ragwortdrift/dispatch/leaf_pool_test.cpp
@@ -131,6 +131,15 @@
     {"response to another request",
      "HTTP/1.1 200 OK\r\nT-Id: r0\r\nContent-Length: 2\r\n\r\nok", false,
      false},
+    // A late copy of an earlier response may lack the id as well.
+    {"response without an id", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+     false, false},
+    {"refusal without an id",
+     "HTTP/1.1 503 Unavailable\r\nContent-Length: 2\r\n\r\nno", false, false},
+    {"interim response first",
+     "HTTP/1.1 100 Continue\r\n\r\n"
+     "HTTP/1.1 200 OK\r\nT-Id: r1\r\nContent-Length: 2\r\n\r\nok",
+     true, true},
     {"not HTTP", "hello there\r\n\r\n", false, false},
 };
 
--- a/src/ragwortdrift/node/traffic_thread.cpp
+++ b/src/ragwortdrift/node/traffic_thread.cpp
@@ -1,4 +1,5 @@
 #include "ragwortdrift/node/traffic_thread.hpp"
+#include "relay_items.hpp"
 
 #include "ragwortdrift/base/hash.hpp"
 #include "ragwortdrift/node/caller_api.hpp"
@@ -41,7 +42,7 @@
 public:
   std::shared_ptr<ResponseStream> m_Stream;
   RelayCall m_Call;
-  std::size_t m_OpenItems = 0;
+  RelayItems m_OpenItems;
 };
 
 TrafficThread::TrafficThread(const Settings &DaemonSettings, unsigned Index,
@@ -330,7 +331,8 @@
   RelayRequest &Message = valueOf(DecodeResult);
   auto Relay = std::make_shared<ServedRelay>();
   Relay->m_Stream = std::move(Stream);
-  Relay->m_OpenItems = Message.m_Items.size();
+  for (const RelayItem &Item : Message.m_Items)
+    Relay->m_OpenItems.add(Item.m_Item);
   const std::pair Key{Request.m_Sender, Message.m_RelayId};
   m_ServedRelays[Key] = Relay;
   Relay->m_Stream->onCancel([this, Key] { m_ServedRelays.erase(Key); });
@@ -338,10 +340,10 @@
       std::move(Message),
       [this, Key, Weak = std::weak_ptr(Relay)](const RelayResponse &Response) {
         const auto OpenRelay = Weak.lock();
-        if (!OpenRelay)
+        if (!OpenRelay || !OpenRelay->m_OpenItems.close(Response.m_Item))
           return;
         OpenRelay->m_Stream->send(encode(Response));
-        if (--OpenRelay->m_OpenItems > 0)
+        if (!OpenRelay->m_OpenItems.empty())
           return;
         OpenRelay->m_Stream->finish();
         m_ServedRelays.erase(Key);
@@ -359,8 +361,10 @@
     return;
   const auto Relay = Entry->second;
   for (const std::uint32_t Item : valueOf(Message).m_Items) {
+    if (!Relay->m_OpenItems.close(Item))
+      continue;
     Relay->m_Call.m_CancelItem(Item);
-    if (--Relay->m_OpenItems == 0) {
+    if (Relay->m_OpenItems.empty()) {
       Relay->m_Stream->finish();
       m_ServedRelays.erase(Entry);
       return;
--- a/src/ragwortdrift/tools/ctl/ctl_test.cpp
+++ b/src/ragwortdrift/tools/ctl/ctl_test.cpp
@@ -48,14 +48,15 @@
 class ScriptedServer {
 public:
   explicit ScriptedServer(std::vector<Step> Steps)
-      : m_Steps(std::move(Steps)),
-        m_Acceptor(m_Io, {asio::ip::make_address("127.0.0.1"), 0}),
-        m_Address("127.0.0.1:" +
-                  std::to_string(m_Acceptor.local_endpoint().port())) {
-    if (m_Steps.empty()) {
-      m_Acceptor.close();
+      : m_Steps(std::move(Steps)), m_Acceptor(m_Io, asio::ip::tcp::v4()) {
+    // Without steps the port stays bound but refuses connections, so that no
+    // other test gets it.
+    m_Acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
+    m_Address =
+        "127.0.0.1:" + std::to_string(m_Acceptor.local_endpoint().port());
+    if (m_Steps.empty())
       return;
-    }
+    m_Acceptor.listen();
     accept();
     m_Thread = std::thread([this] { m_Io.run(); });
   }
--- a/src/ragwortdrift/tools/ctl/explain.cpp
+++ b/src/ragwortdrift/tools/ctl/explain.cpp
@@ -84,12 +84,27 @@
   return Out;
 }
 
+/// True if Text contains Name as a whole, not as a part of a longer name.
+bool containsName(std::string_view Text, std::string_view Name) {
+  constexpr std::string_view NameCharacters =
+      "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-";
+  const auto IsPartOfName = [&](std::size_t Position) {
+    return Position < Text.size() &&
+           NameCharacters.find(Text[Position]) != std::string_view::npos;
+  };
+  for (auto Position = Text.find(Name); Position != std::string_view::npos;
+       Position = Text.find(Name, Position + 1))
+    if (!IsPartOfName(Position + Name.size()) &&
+        (Position == 0 || !IsPartOfName(Position - 1)))
+      return true;
+  return false;
+}
+
 /// True if a state event is relevant to a line of the request. The state of a
 /// leaf is relevant only to lines that name the leaf.
 bool isRelevant(const StateEventGroup &Group, const std::string &KeyValue,
                 const LogLine &Line) {
-  return Group.m_KeyField != LeafField ||
-         Line.m_Text.find(KeyValue) != std::string::npos;
+  return Group.m_KeyField != LeafField || containsName(Line.m_Text, KeyValue);
 }
 
 void collectMatches(const std::string &File, const std::string &Id,
--- a/src/ragwortdrift/tools/ctl/explain_test.cpp
+++ b/src/ragwortdrift/tools/ctl/explain_test.cpp
@@ -29,6 +29,8 @@
     "time=2026-01-01T00:00:00Z level=info event=routes.in_force version=3\n"
     "time=2026-01-01T00:00:01Z level=info event=leaf.unverified leaf=i-1\n"
     "time=2026-01-01T00:00:01Z level=info event=leaf.unverified leaf=i-2\n"
+    "time=2026-01-01T00:00:01Z level=info event=leaf.unverified leaf=i\n"
+    "time=2026-01-01T00:00:01Z level=info event=leaf.unverified leaf=-1\n"
     "time=2026-01-01T00:00:01Z level=info event=core.source core=c-old\n"
     "time=2026-01-01T00:00:02Z level=info event=core.source core=c-new\n"
     "time=2026-01-01T00:00:02Z level=info event=state.taken core=c-new\n"
@@ -94,7 +96,8 @@
        {"core.source core=c-new", "state.taken", "leaf.estimated leaf=i-1"})
     cr_assert_neq(Text.find(Expected), std::string::npos, "%s", Expected);
   for (const char *Unexpected :
-       {"version=4", "leaf=i-2", "leaf=i-3", "c-old", "abcd", "vm.isolated"})
+       {"version=4", "leaf=i-2", "leaf=i-3", "leaf=i\n", "leaf=-1", "c-old",
+        "abcd", "vm.isolated"})
     cr_assert_eq(Text.find(Unexpected), std::string::npos, "%s", Unexpected);
 }
 
