Bound the bodies in flight and the memory of idle connections

Cause, found while bounding the messages: each attempt has a copy of the request, so a search with a body of 256 KB over 135 shards takes 35 MB, and a few callers within all limits exhaust a VM of 160 MB. An idle connection to a leaf kept the last request with its body, and received bodies in steps of 16 KB, which its buffer kept.

Change: a VM refuses a request, as not executed, above 16 MiB of bodies in flight, counted once for each shard; a single one is always taken. A finished request is dropped by its connection, and the receive buffer grows from 2 KB.

--- a/include/ragwortdrift/dispatch/active_request.hpp
+++ b/include/ragwortdrift/dispatch/active_request.hpp
@@ -122,6 +122,8 @@
   void scheduleStragglerHedges();
 
   // Response.
+  /// Ends the request's share in the requests in flight.
+  void leaveFlight();
   void finishIfDecided();
   void finish(FinishCause Cause);
   HttpResponse mergedResponse() const;
@@ -143,6 +145,7 @@
   /// leafs.
   HttpRequest m_RequestTemplate;
   Dispatcher::ResponseCallback m_OnResponse;
+  std::size_t m_Bytes;
   std::vector<SubRequest> m_SubRequests;
   StragglerDetector m_Stragglers;
   TimePoint m_StartedAt;
--- a/include/ragwortdrift/dispatch/dispatcher.hpp
+++ b/include/ragwortdrift/dispatch/dispatcher.hpp
@@ -25,6 +25,10 @@
   Duration m_RetryWindow = std::chrono::seconds(10);
   /// Requests in flight above which new ones are refused.
   std::size_t m_MaxInFlight = 400;
+  /// Bytes of request bodies in flight above which new requests are refused.
+  /// The body of a search counts once for each shard, since each attempt has a
+  /// copy.
+  std::size_t m_MaxInFlightBytes = std::size_t{16} * 1024 * 1024;
   /// Longest time for which a new configuration is held while its services
   /// cannot serve as well as those in force.
   Duration m_MaxConfigDelay{0};
@@ -162,6 +166,7 @@
   std::map<LeafId, LeafObservation> m_Observed;
   std::size_t m_EntryCount = 1;
   std::size_t m_InFlight = 0;
+  std::size_t m_InFlightBytes = 0;
   /// Reachability of leafs in other failure domains.
   TimePoint m_OtherDomainsReachedAt;
   std::size_t m_OtherDomainFailures = 0;
@@ -172,6 +177,10 @@
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
 };
 
+/// Returns the memory that the copies of a request's body take while it is in
+/// flight.
+std::size_t requestBytes(const Route &Target, const HttpRequest &Request);
+
 /// Builds a 503 response that promises that the request was not executed, with
 /// a Retry-After header.
 HttpResponse notExecutedResponse(std::string_view Reason, Duration RetryAfter);
--- a/src/ragwortdrift/dispatch/active_request.cpp
+++ b/src/ragwortdrift/dispatch/active_request.cpp
@@ -72,6 +72,7 @@
     : m_Owner(Owner), m_Routes(std::move(Routes)), m_Route(MatchedRoute),
       m_RequestId(Request[Owner.m_Protocol.m_RequestId]),
       m_OnResponse(std::move(OnResponse)),
+      m_Bytes(requestBytes(MatchedRoute, Request)),
       m_Stragglers(MatchedRoute.m_Services.size()),
       m_StartedAt(Owner.m_Timers.now()) {
   m_RequestTemplate.method_string(Request.method_string());
@@ -112,6 +113,7 @@
 void ActiveRequest::start() {
   m_Self = shared_from_this();
   ++m_Owner.m_InFlight;
+  m_Owner.m_InFlightBytes += m_Bytes;
   m_HedgeDelay = hedgeDelay();
   failUnavailable();
   for (std::size_t I = 0; I < m_SubRequests.size() && !m_AvailableIn; ++I) {
@@ -152,9 +154,8 @@
   m_Timer.reset();
   if (m_Finished)
     return;
-  m_Finished = true;
   m_OnResponse = nullptr;
-  --m_Owner.m_InFlight;
+  leaveFlight();
   m_Owner.m_Metrics
       .counter("ragwortdrift_requests_total", {{"outcome", "caller_gone"}})
       .add();
@@ -164,6 +165,12 @@
                        {"elapsed_ms", timers().now() - m_StartedAt}});
 }
 
+void ActiveRequest::leaveFlight() {
+  m_Finished = true;
+  --m_Owner.m_InFlight;
+  m_Owner.m_InFlightBytes -= m_Bytes;
+}
+
 Duration ActiveRequest::hedgeDelay() const {
   const RouteStats &Stats = m_Owner.stats(m_Route);
   const TimePoint Now = timers().now();
--- a/src/ragwortdrift/dispatch/active_request_response.cpp
+++ b/src/ragwortdrift/dispatch/active_request_response.cpp
@@ -34,8 +34,7 @@
 void ActiveRequest::finish(FinishCause Cause) {
   const auto Self = shared_from_this();
   m_Self.reset();
-  m_Finished = true;
-  --m_Owner.m_InFlight;
+  leaveFlight();
   HttpResponse Response = m_Route.m_Kind == RouteKind::Search
                               ? mergedResponse()
                               : singleResponse(Cause);
--- a/src/ragwortdrift/dispatch/dispatcher.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher.cpp
@@ -44,6 +44,11 @@
   return Out;
 }
 
+std::size_t requestBytes(const Route &Target, const HttpRequest &Request) {
+  return Request.body().size() *
+         (Target.m_Kind == RouteKind::Search ? Target.m_Services.size() : 1);
+}
+
 Dispatcher::Dispatcher(TimerService &Timers, LeafTransport &Transport,
                        LeafProtocol Protocol, DispatchOptions Options,
                        std::uint64_t Seed)
@@ -268,6 +273,12 @@
     return Refuse(
         notExecutedResponse("too many requests in flight", BusyRetryAfter),
         "overloaded");
+  // A single request of any permitted size is served.
+  if (m_InFlight > 0 && m_InFlightBytes + requestBytes(*MatchedRoute, Request) >
+                            m_Options.m_MaxInFlightBytes)
+    return Refuse(
+        notExecutedResponse("too many bytes in flight", BusyRetryAfter),
+        "overloaded");
   auto NewRequest =
       std::make_shared<ActiveRequest>(*this, routes(), *MatchedRoute, Request,
                                       *CallerTimeout, std::move(OnResponse));
--- a/src/ragwortdrift/net/http_client.cpp
+++ b/src/ragwortdrift/net/http_client.cpp
@@ -100,6 +100,8 @@
 
 void HttpClientConnection::finish(Result<HttpResponse, HttpError> Outcome) {
   m_Busy = false;
+  // An idle connection must not keep the body of its last request.
+  m_Request = {};
   if (!isOk(Outcome)) {
     if (m_Closing)
       std::get<1>(Outcome).m_Code = HttpErrorCode::Cancelled;
--- a/src/ragwortdrift/net/message_reader.hpp
+++ b/src/ragwortdrift/net/message_reader.hpp
@@ -38,6 +38,7 @@
     m_Limits = Limits;
     m_BytesRead = 0;
     m_SearchedBytes = 0;
+    m_BodyReceiveBytes = ReceiveBytes;
     // A header, a chunk header or a trailer is buffered until it is complete.
     m_Buffer.max_size(m_Buffer.size() + Limits.m_MaxHeaderBytes + ReceiveBytes);
     restart();
@@ -92,10 +93,15 @@
     OnProgress();
     m_Stream.async_read_some(
         m_Buffer.prepare(std::min<std::size_t>(
-            BodyReceiveBytes, m_Buffer.max_size() - m_Buffer.size())),
+            m_BodyReceiveBytes, m_Buffer.max_size() - m_Buffer.size())),
         [this, OnRead = std::move(OnRead), OnProgress = std::move(OnProgress)](
             ErrorCode ReadError, std::size_t Size) mutable {
           m_Buffer.commit(Size);
+          // Most bodies are small, and the buffer keeps its size while the
+          // connection is idle.
+          if (Size == m_BodyReceiveBytes)
+            m_BodyReceiveBytes =
+                std::min(2 * m_BodyReceiveBytes, MaxBodyReceiveBytes);
           if (ReadError == boost::asio::error::eof)
             ReadError = parseEnd();
           if (ReadError || m_Parser->is_done())
@@ -115,7 +121,7 @@
   /// Bytes of a header that are received at once; a request without a body
   /// mostly fits.
   static constexpr std::size_t ReceiveBytes = 2048;
-  static constexpr std::size_t BodyReceiveBytes = 16'384;
+  static constexpr std::size_t MaxBodyReceiveBytes = 16'384;
   /// Bytes on the wire for each byte of a body that is sent in chunks. A chunk
   /// of one byte takes six.
   static constexpr std::uint64_t MaxChunkedBytesPerBodyByte = 8;
@@ -176,6 +182,8 @@
   std::optional<Parser> m_Parser;
   MessageLimits m_Limits;
   std::uint64_t m_BytesRead = 0;
+  /// Bytes of a body that are received at once.
+  std::size_t m_BodyReceiveBytes = ReceiveBytes;
   /// Bytes of the buffer in which no end of a header was found.
   std::size_t m_SearchedBytes = 0;
 };
