--- a/src/ragwortdrift/net/message_reader.hpp
+++ b/src/ragwortdrift/net/message_reader.hpp
@@ -120,7 +120,7 @@
 private:
   /// Bytes of a header that are received at once; a request without a body
   /// mostly fits.
-  static constexpr std::size_t ReceiveBytes = 2048;
+  static constexpr std::size_t ReceiveBytes = 1024;
   static constexpr std::size_t MaxBodyReceiveBytes = 16'384;
   /// Bytes on the wire for each byte of a body that is sent in chunks. A chunk
   /// of one byte takes six.
