Accept a leaf's refusal without the id of its request again

Cause: took every response without the id for one of another request. A refused booking was answered 502 and a refused part used up an attempt.

Change: only a success without the id is taken for a late one.

--- a/src/ragwortdrift/dispatch/leaf_pool.cpp
+++ b/src/ragwortdrift/dispatch/leaf_pool.cpp
@@ -43,7 +43,10 @@
 /// health probes.
 bool belongsToRequest(const HttpResponse &Response, const std::string &IdHeader,
                       const std::string &RequestId) {
-  return RequestId.empty() || Response[IdHeader] == RequestId;
+  const auto Field = Response.find(IdHeader);
+  if (Field == Response.end())
+    return RequestId.empty() || Response.result_int() / 100 != 2;
+  return RequestId.empty() || Field->value() == RequestId;
 }
 
 } // namespace
