Log and count what takes the memory of a core VM

What callers saw: nothing; this only makes the causes of a core VM that is ended by its memory limit distinguishable. Change: core.memory names the size of the configuration, watchers, bytes queued for them, bytes of the log and the heap, once a second while the state changes or responses are unsent; the same figures are metrics.

--- a/include/ragwortdrift/consensus/memory_log.hpp
+++ b/include/ragwortdrift/consensus/memory_log.hpp
@@ -29,7 +29,13 @@
   /// there is none.
   LogIndex lastIndexUpToTerm(LogTerm Term) const;
 
-  void append(LogEntry Entry) { m_Entries.push_back(std::move(Entry)); }
+  /// Returns the payload bytes of all entries in memory.
+  std::size_t bytes() const { return m_Bytes; }
+
+  void append(LogEntry Entry) {
+    m_Bytes += Entry.m_Bytes.size();
+    m_Entries.push_back(std::move(Entry));
+  }
   void truncateFrom(LogIndex Index);
   /// Drops the entries up to Index.
   void compactTo(LogIndex Index);
@@ -40,6 +46,7 @@
   LogIndex m_BaseIndex = 0;
   LogTerm m_BaseTerm = 0;
   std::deque<LogEntry> m_Entries;
+  std::size_t m_Bytes = 0;
 };
 
 } // namespace ragwortdrift
--- a/include/ragwortdrift/consensus/replicated_log.hpp
+++ b/include/ragwortdrift/consensus/replicated_log.hpp
@@ -70,6 +70,8 @@
   LogIndex m_AppliedIndex = 0;
   LogIndex m_LastIndex = 0;
   LogIndex m_SnapshotIndex = 0;
+  /// Payload bytes of the entries in memory.
+  std::size_t m_LogBytes = 0;
   std::vector<Member> m_Voters;
   std::vector<Member> m_Learners;
   StoreId m_StoreId;
--- a/include/ragwortdrift/consensus/replicated_log_impl.hpp
+++ b/include/ragwortdrift/consensus/replicated_log_impl.hpp
@@ -117,6 +117,7 @@
   Status.m_AppliedIndex = m_Core->appliedIndex();
   Status.m_LastIndex = m_Core->log().lastIndex();
   Status.m_SnapshotIndex = m_SnapshotIndex;
+  Status.m_LogBytes = m_Core->log().bytes();
   Status.m_Voters = m_Core->membership().m_Voters;
   Status.m_Learners = m_Core->membership().m_Learners;
   return Status;
--- a/include/ragwortdrift/fleet/core_node.hpp
+++ b/include/ragwortdrift/fleet/core_node.hpp
@@ -91,6 +91,9 @@
 
   // Watchers.
   void onWatchRequest(const PeerRequest &Request, const StreamPtr &Response);
+  /// Logs what takes memory if the state has changed since the last call or
+  /// responses are unsent.
+  void logMemory();
   CoreReport makeReport();
   void sendReport(Watcher &Receiver);
   void sendReports();
@@ -144,6 +147,7 @@
   std::map<std::uint64_t, Watcher> m_Watchers;
   std::uint64_t m_NextWatcherId = 0;
   std::uint64_t m_StatesSent = 0;
+  std::uint64_t m_LoggedRevision = 0;
   std::map<VmId, TimePoint> m_EntryLastSeenAt;
   LeafList m_Leafs;
   ListVersion m_ListVersion;
--- a/include/ragwortdrift/net/peer_server.hpp
+++ b/include/ragwortdrift/net/peer_server.hpp
@@ -82,6 +82,8 @@
   /// refused.
   void handle(std::string Path, Handler Fn);
   std::size_t connections() const;
+  /// Bytes of responses that are queued and not yet written to a socket.
+  std::size_t unsentBytes() const;
 
   class Impl;
 
--- a/src/ragwortdrift/consensus/memory_log.cpp
+++ b/src/ragwortdrift/consensus/memory_log.cpp
@@ -25,20 +25,24 @@
 }
 
 void MemoryLog::truncateFrom(LogIndex Index) {
-  while (lastIndex() >= Index && !m_Entries.empty())
+  while (lastIndex() >= Index && !m_Entries.empty()) {
+    m_Bytes -= m_Entries.back().m_Bytes.size();
     m_Entries.pop_back();
+  }
 }
 
 void MemoryLog::compactTo(LogIndex Index) {
   while (m_BaseIndex < Index && !m_Entries.empty()) {
     m_BaseTerm = m_Entries.front().m_Term;
     ++m_BaseIndex;
+    m_Bytes -= m_Entries.front().m_Bytes.size();
     m_Entries.pop_front();
   }
 }
 
 void MemoryLog::reset(LogIndex Index, LogTerm Term) {
   m_Entries.clear();
+  m_Bytes = 0;
   m_BaseIndex = Index;
   m_BaseTerm = Term;
 }
--- a/src/ragwortdrift/fleet/core_node.cpp
+++ b/src/ragwortdrift/fleet/core_node.cpp
@@ -1,6 +1,7 @@
 #include "ragwortdrift/fleet/core_node.hpp"
 
 #include "ragwortdrift/base/hash.hpp"
+#include "ragwortdrift/base/heap_usage.hpp"
 #include "ragwortdrift/base/log.hpp"
 
 #include <boost/asio/post.hpp>
@@ -29,6 +30,8 @@
 /// Interval at which observations are shared between core VMs. A slow leaf
 /// stays slow for seconds, so a shorter interval gains nothing.
 constexpr std::chrono::milliseconds ObservationShareInterval{250};
+/// Interval of the log lines on memory after changes of the state.
+constexpr std::chrono::seconds MemoryLogInterval{1};
 /// A command may contain a whole configuration, so frequent snapshots bound the
 /// size of the log on small disks.
 constexpr LogIndex SnapshotEntries = 100;
@@ -72,6 +75,8 @@
       m_Timers.every(ReportInterval, [this] { sendReports(); }));
   m_Periodic.push_back(m_Timers.every(ObservationShareInterval,
                                       [this] { shareObservations(); }));
+  m_Periodic.push_back(
+      m_Timers.every(MemoryLogInterval, [this] { logMemory(); }));
   m_ListTimer = m_Timers.after(Duration{0}, [this] { updateLeafList(); });
   return Done{};
 }
@@ -387,6 +392,23 @@
     m_Log->transferLeadership();
 }
 
+void CoreNode::logMemory() {
+  const std::size_t UnsentBytes = m_PeerServer.unsentBytes();
+  if (std::exchange(m_LoggedRevision, m_State.m_Revision) ==
+          m_State.m_Revision &&
+      UnsentBytes == 0)
+    return;
+  const HeapUsage Heap = heapUsage();
+  logEvent(LogSeverity::Info, "core.memory",
+           {{"revision", m_State.m_Revision},
+            {"config_bytes", m_State.m_Config.m_Text.size()},
+            {"watchers", m_Watchers.size()},
+            {"unsent_bytes", UnsentBytes},
+            {"log_bytes", m_Log ? m_Log->status().m_LogBytes : 0},
+            {"heap_used", Heap.m_Used},
+            {"heap_retained", Heap.m_Retained}});
+}
+
 MetricsSnapshot CoreNode::metrics() {
   if (m_Log) {
     const ReplicatedLogStatus Status = m_Log->status();
@@ -398,7 +420,16 @@
         .set(static_cast<double>(Status.m_Voters.size()));
     m_Metrics.gauge("ragwortdrift_log_commit_index")
         .set(static_cast<double>(Status.m_CommitIndex));
+    m_Metrics.gauge("ragwortdrift_log_bytes")
+        .set(static_cast<double>(Status.m_LogBytes));
   }
+  const HeapUsage Heap = heapUsage();
+  m_Metrics.gauge("ragwortdrift_heap_used_bytes")
+      .set(static_cast<double>(Heap.m_Used));
+  m_Metrics.gauge("ragwortdrift_heap_retained_bytes")
+      .set(static_cast<double>(Heap.m_Retained));
+  m_Metrics.gauge("ragwortdrift_peer_unsent_bytes")
+      .set(static_cast<double>(m_PeerServer.unsentBytes()));
   m_Metrics.gauge("ragwortdrift_store_usable").set(m_Log ? 1 : 0);
   m_Metrics.gauge("ragwortdrift_config_version")
       .set(static_cast<double>(m_State.m_Config.m_Version));
--- a/src/ragwortdrift/net/peer_server.cpp
+++ b/src/ragwortdrift/net/peer_server.cpp
@@ -58,6 +58,8 @@
   }
   void start() { startIo(); }
 
+  std::size_t unsentBytes() const { return m_UnsentBytes; }
+
   bool send(std::int32_t Id, PeerRecordKind Kind, std::string_view Body);
   void resetIfUnfinished(std::int32_t Id);
   bool onCancel(std::int32_t Id, std::function<void()> &Callback);
@@ -391,4 +393,11 @@
   return m_Impl->m_Sessions.size();
 }
 
+std::size_t PeerServer::unsentBytes() const {
+  std::size_t Bytes = 0;
+  for (const auto &Session : m_Impl->m_Sessions)
+    Bytes += Session->unsentBytes();
+  return Bytes;
+}
+
 } // namespace ragwortdrift
