Bound the replicated log by bytes, in memory and on disk

What callers saw: 404 and 503 after core VMs were ended by their memory limit on the large site. This is one of the causes. Evidence: replicated_log/bounds_log_memory_by_bytes failed before the change ("payloads of the maximum size: bytes" after 60 payloads, still growing).

--- a/include/ragwortdrift/consensus/raft_core.hpp
+++ b/include/ragwortdrift/consensus/raft_core.hpp
@@ -36,6 +36,8 @@
   /// Number of entries before a snapshot that are kept in memory, so that
   /// followers that lag slightly can catch up without the snapshot.
   LogIndex m_TrailingEntries = 200;
+  /// Maximum payload bytes of these entries.
+  std::size_t m_TrailingBytes = std::size_t{8} << 20;
 };
 
 /// A read that is linearizable once all entries up to m_Index are applied.
--- a/include/ragwortdrift/consensus/replicated_log.hpp
+++ b/include/ragwortdrift/consensus/replicated_log.hpp
@@ -33,9 +33,13 @@
   /// Time that addVoter() and removeVoter() wait until the change is complete.
   Duration m_CatchUpTimeout = std::chrono::seconds(30);
   LogIndex m_SnapshotEntries = 1000;
-  /// Number of entries before a snapshot that are kept in memory for followers
-  /// that lag slightly.
+  /// Payload bytes applied since the last snapshot from which a new one is
+  /// taken, unless the snapshot itself is larger.
+  std::size_t m_SnapshotBytes = std::size_t{16} << 20;
+  /// Number and payload bytes of entries before a snapshot that are kept in
+  /// memory for followers that lag slightly.
   LogIndex m_TrailingEntries = 200;
+  std::size_t m_TrailingBytes = std::size_t{8} << 20;
   /// Maximum payload bytes of an append message and of a snapshot chunk. A
   /// single entry is never split.
   std::size_t m_MaxMessageBytes = std::size_t{256} * 1024;
@@ -177,6 +181,8 @@
   std::optional<Bootstrap> m_Bootstrap;
   HardState m_HardState;
   LogIndex m_SnapshotIndex = 0;
+  std::size_t m_SnapshotSize = 0;
+  std::size_t m_BytesSinceSnapshot = 0;
   std::map<LogIndex, PendingProposal> m_PendingProposals;
   std::map<std::uint64_t, ProposeCallback> m_PendingReads;
   std::uint64_t m_LastReadToken = 0;
--- a/include/ragwortdrift/consensus/replicated_log_impl.hpp
+++ b/include/ragwortdrift/consensus/replicated_log_impl.hpp
@@ -38,6 +38,7 @@
                  std::move(valueOf(Recovered)), m_Engine);
   if (LatestSnapshot) {
     m_SnapshotIndex = LatestSnapshot->m_Index;
+    m_SnapshotSize = LatestSnapshot->m_Bytes.size();
     m_Callbacks.m_Restore(LatestSnapshot->m_Bytes);
   }
   m_Bootstrap.emplace(m_Self, m_Options.m_InitialVoters, m_Engine);
@@ -154,6 +155,8 @@
                          encode(Outgoing.m_Message));
     if (Output.m_SnapshotToInstall) {
       m_SnapshotIndex = Output.m_SnapshotToInstall->m_Index;
+      m_SnapshotSize = Output.m_SnapshotToInstall->m_Bytes.size();
+      m_BytesSinceSnapshot = 0;
       m_Callbacks.m_Restore(Output.m_SnapshotToInstall->m_Bytes);
     }
     applyCommitted(Output);
@@ -186,6 +189,7 @@
 template <FileOps Files>
 void BasicReplicatedLog<Files>::applyCommitted(const Effects &Output) {
   for (const LogEntry &Entry : Output.m_Apply) {
+    m_BytesSinceSnapshot += Entry.m_Bytes.size();
     if (Entry.m_Kind == EntryKind::Payload)
       m_Callbacks.m_Apply(Entry.m_Index, Entry.m_Bytes);
     auto It = m_PendingProposals.find(Entry.m_Index);
@@ -234,7 +238,9 @@
 
 template <FileOps Files> void BasicReplicatedLog<Files>::takeSnapshotIfDue() {
   LogIndex Applied = m_Core->appliedIndex();
-  if (Applied < m_SnapshotIndex + m_Options.m_SnapshotEntries)
+  if (Applied < m_SnapshotIndex + m_Options.m_SnapshotEntries &&
+      m_BytesSinceSnapshot <
+          std::max(m_Options.m_SnapshotBytes, m_SnapshotSize))
     return;
   const MemoryLog &Log = m_Core->log();
   auto NewSnapshot = std::make_shared<Snapshot>();
@@ -248,6 +254,8 @@
   if (!isOk(m_Store.saveSnapshot(*NewSnapshot, m_HardState, Suffix)))
     return;
   m_SnapshotIndex = Applied;
+  m_SnapshotSize = NewSnapshot->m_Bytes.size();
+  m_BytesSinceSnapshot = 0;
   m_Core->compact(std::move(NewSnapshot));
 }
 
--- a/src/ragwortdrift/consensus/raft_snapshot.cpp
+++ b/src/ragwortdrift/consensus/raft_snapshot.cpp
@@ -11,6 +11,8 @@
   m_Snapshot = std::move(NewSnapshot);
   if (Index > m_Options.m_TrailingEntries)
     m_Log.compactTo(Index - m_Options.m_TrailingEntries);
+  while (m_Log.baseIndex() < Index && m_Log.bytes() > m_Options.m_TrailingBytes)
+    m_Log.compactTo(m_Log.baseIndex() + 1);
   // Keeps the last membership up to the snapshot index, which is in effect at
   // the snapshot.
   while (m_Memberships.size() > 1 && m_Memberships[1].first <= Index)
--- a/src/ragwortdrift/consensus/replicated_log.cpp
+++ b/src/ragwortdrift/consensus/replicated_log.cpp
@@ -23,6 +23,7 @@
       Options.m_FirstElectionTimeoutMax / Options.m_TickInterval);
   Output.m_MaxMessageBytes = Options.m_MaxMessageBytes;
   Output.m_TrailingEntries = Options.m_TrailingEntries;
+  Output.m_TrailingBytes = Options.m_TrailingBytes;
   return Output;
 }
 
--- a/src/ragwortdrift/consensus/replicated_log_test.cpp
+++ b/src/ragwortdrift/consensus/replicated_log_test.cpp
@@ -14,7 +14,9 @@
 /// arrive one millisecond after they are sent.
 class TestCluster {
 public:
-  explicit TestCluster(std::size_t Voters) {
+  explicit TestCluster(std::size_t Voters,
+                       std::optional<std::size_t> SnapshotBytes = std::nullopt)
+      : m_SnapshotBytes(SnapshotBytes) {
     m_Root = std::filesystem::temp_directory_path() /
              ("ragwortdrift-log-test-" + std::to_string(::getpid()));
     std::filesystem::remove_all(m_Root);
@@ -30,7 +32,12 @@
     Options.m_Self = Vm;
     Options.m_InitialVoters = m_InitialVoters;
     Options.m_Seed = ++m_StartCount;
-    Options.m_SnapshotEntries = 20;
+    if (m_SnapshotBytes) {
+      Options.m_SnapshotBytes = *m_SnapshotBytes;
+      Options.m_TrailingBytes = *m_SnapshotBytes / 2;
+    } else {
+      Options.m_SnapshotEntries = 20;
+    }
     std::string &State = m_States[Vm];
     State.clear();
     ReplicatedLogCallbacks Callbacks;
@@ -41,7 +48,9 @@
       const auto *Append = std::get_if<AppendRequest>(&Msg.m_Body);
       m_Appends += Append && !Append->m_Entries.empty();
     };
-    Callbacks.m_Apply = [&State](LogIndex, const std::string &Payload) {
+    Callbacks.m_Apply = [this, &State](LogIndex, const std::string &Payload) {
+      if (m_KeepsLastPayloadOnly)
+        State.clear();
       State += Payload;
     };
     Callbacks.m_TakeSnapshot = [&State] { return State; };
@@ -77,6 +86,8 @@
     VmId m_From, m_To;
     std::string m_Bytes;
   };
+  std::optional<std::size_t> m_SnapshotBytes;
+  bool m_KeepsLastPayloadOnly = false;
   std::filesystem::path m_Root;
   std::vector<InitialVoter> m_InitialVoters;
   TimerService m_Timers;
@@ -90,6 +101,17 @@
 
 const std::size_t ClusterSizes[] = {1, 2, 3, 4, 5};
 
+struct LogMemoryCase {
+  const char *m_Name;
+  std::size_t m_PayloadBytes;
+  int m_Payloads;
+};
+const LogMemoryCase LogMemoryCases[] = {
+    {"large payloads", std::size_t{400} * 1024, 60},
+    {"payloads of the maximum size", std::size_t{512} * 1024, 60},
+    {"many payloads", std::size_t{64} * 1024, 300},
+};
+
 } // namespace
 
 // Guards against clusters of odd or even size that cannot form or commit, and
@@ -218,3 +240,29 @@
   cr_assert(ReadFailure == ProposeErrorCode::NotLeader);
   cr_assert(Leader->status().m_Role != RaftRole::Leader);
 }
+
+// Guards against a log of large payloads that takes all memory of its VM.
+TABLE_TEST(replicated_log, bounds_log_memory_by_bytes, LogMemoryCases) {
+  TestCluster Cluster(3, std::size_t{2} << 20);
+  Cluster.m_KeepsLastPayloadOnly = true;
+  Cluster.run(3s);
+  cr_assert(Cluster.leader());
+  int AcknowledgedCount = 0;
+  std::size_t MaxLogBytes = 0;
+  for (int I = 0; I < Row.m_Payloads; ++I) {
+    Cluster.leader()->propose(
+        std::string(Row.m_PayloadBytes, static_cast<char>('a' + I % 26)),
+        [&](const Result<LogIndex, ProposeError> &R) {
+          AcknowledgedCount += isOk(R);
+        });
+    Cluster.run(30ms);
+    for (const auto &[Vm, Log] : Cluster.m_Logs)
+      MaxLogBytes = std::max(MaxLogBytes, Log->status().m_LogBytes);
+  }
+  Cluster.run(200ms);
+  cr_assert_eq(AcknowledgedCount, Row.m_Payloads, "%s", Row.m_Name);
+  // A snapshot is due from 2 MiB on, 1 MiB trails it, and two payloads may be
+  // in flight.
+  cr_assert_leq(MaxLogBytes, (std::size_t{3} << 20) + 2 * Row.m_PayloadBytes,
+                "%s: %zu bytes", Row.m_Name, MaxLogBytes);
+}
--- a/src/ragwortdrift/fleet/core_node.cpp
+++ b/src/ragwortdrift/fleet/core_node.cpp
@@ -36,6 +36,9 @@
 /// size of the log on small disks.
 constexpr LogIndex SnapshotEntries = 100;
 constexpr LogIndex TrailingEntries = 20;
+/// Bounds on the log in memory and on disk for configurations of any size.
+constexpr std::size_t SnapshotBytes = std::size_t{4} << 20;
+constexpr std::size_t TrailingBytes = std::size_t{2} << 20;
 /// Upper bound of the first election timeout, so that voters that restart
 /// together elect a leader quickly. Voters that receive messages from a
 /// leader refuse an early candidate.
@@ -91,7 +94,9 @@
   Options.m_Seed = stableHash(m_Address, std::random_device{}());
   Options.m_FirstElectionTimeoutMax = FirstElectionTimeoutMax;
   Options.m_SnapshotEntries = SnapshotEntries;
+  Options.m_SnapshotBytes = SnapshotBytes;
   Options.m_TrailingEntries = TrailingEntries;
+  Options.m_TrailingBytes = TrailingBytes;
   ReplicatedLogCallbacks Callbacks;
   Callbacks.m_Send = [this](const VmId &Receiver, const std::string &Address,
                             std::string Bytes) {
