Share the body of a message between the streams that send it

What callers saw: core VMs of the large site were ended by their memory limit, then 404 and 503. This is one of the causes. Cause: a response stream copied each message twice (sealed record and output queue), and the write buffer of its connection a third time, so that 200 watchers that read slowly held the state of 400 KiB 200 times and more. Change: ResponseStream::send() takes a shared body. A stream queues the record's header and a reference to the body, and a write gathers frame headers and parts of bodies (nghttp2's NO_COPY) instead of copying them into a buffer. Requests of PeerClient take the same way. unsentBytes() of a response or a server counts bytes until the write that carries them has completed, and onDrained() calls back when a response has none left.

--- a/include/ragwortdrift/net/peer_auth.hpp
+++ b/include/ragwortdrift/net/peer_auth.hpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -22,6 +23,9 @@
 /// Maximum size of the body of one message (section 4).
 inline constexpr std::size_t MaxPeerMessageBytes = std::size_t{1} << 20;
 
+/// The body of a message, shared by all streams that send it. Not null.
+using SharedMessage = std::shared_ptr<const std::string>;
+
 /// Size of a record without its body: length, kind and MAC.
 inline constexpr std::size_t PeerRecordHeaderBytes =
     4 + 1 + std::tuple_size_v<PeerMac>;
@@ -58,8 +62,17 @@
                        PeerRecordKind Kind, std::uint64_t Index,
                        std::string_view Body);
 
-/// Encodes a record as sent in DATA frames: u32 body length (little-endian), u8
-/// kind, MAC, body.
+/// The bytes of a record before its body.
+using PeerRecordHeader = std::array<char, PeerRecordHeaderBytes>;
+
+/// Encodes the header of a record: u32 body length (little-endian), u8 kind,
+/// MAC.
+PeerRecordHeader sealHeader(const PeerKey &Key,
+                            const PeerRecordContext &Context,
+                            PeerRecordKind Kind, std::uint64_t Index,
+                            std::string_view Body);
+
+/// Encodes a record as sent in DATA frames: header, body.
 std::string sealRecord(const PeerKey &Key, const PeerRecordContext &Context,
                        PeerRecordKind Kind, std::uint64_t Index,
                        std::string_view Body);
--- a/include/ragwortdrift/net/peer_server.hpp
+++ b/include/ragwortdrift/net/peer_server.hpp
@@ -44,11 +44,23 @@
 /// stream. Use only on the server's thread; it may outlive the server.
 class ResponseStream {
 public:
+  /// The body of a message, shared by all streams that send it. Not null.
+  using SharedMessage = ragwortdrift::SharedMessage;
+
   virtual ~ResponseStream() = default;
   /// Queues a message. Returns false if the stream has ended, the message
   /// exceeds 1 MiB, or the connection's limit on unsent bytes is reached; in
   /// the last two cases the stream is reset.
-  virtual bool send(std::string Message) = 0;
+  virtual bool send(SharedMessage Message) = 0;
+  bool send(std::string Message) {
+    return send(std::make_shared<const std::string>(std::move(Message)));
+  }
+  /// Bytes of this response that are queued and not yet written to the socket.
+  virtual std::size_t unsentBytes() const = 0;
+  /// Calls back, each time until the stream ends, when unsentBytes() has
+  /// dropped to 0 after having been above it. Never called inside send() or
+  /// after finish(). Replaces an earlier callback.
+  virtual void onDrained(std::function<void()> Callback) = 0;
   /// Ends the response after the messages queued so far.
   virtual void finish() = 0;
   /// Calls back once if the client resets the stream or the connection ends
--- a/src/ragwortdrift/net/peer_auth.cpp
+++ b/src/ragwortdrift/net/peer_auth.cpp
@@ -75,17 +75,24 @@
   return Builder.finish();
 }
 
+PeerRecordHeader sealHeader(const PeerKey &Key,
+                            const PeerRecordContext &Context,
+                            PeerRecordKind Kind, std::uint64_t Index,
+                            std::string_view Body) {
+  const PeerMac Mac = computePeerMac(Key, Context, Kind, Index, Body);
+  const auto Length = static_cast<std::uint32_t>(Body.size());
+  PeerRecordHeader Header;
+  std::memcpy(Header.data(), &Length, sizeof(Length));
+  Header[4] = static_cast<char>(Kind);
+  std::memcpy(Header.data() + 5, Mac.data(), Mac.size());
+  return Header;
+}
+
 std::string sealRecord(const PeerKey &Key, const PeerRecordContext &Context,
                        PeerRecordKind Kind, std::uint64_t Index,
                        std::string_view Body) {
-  const PeerMac Mac = computePeerMac(Key, Context, Kind, Index, Body);
-  const auto Length = static_cast<std::uint32_t>(Body.size());
-  std::string Bytes(PeerRecordHeaderBytes, '\0');
-  std::memcpy(Bytes.data(), &Length, sizeof(Length));
-  Bytes[4] = static_cast<char>(Kind);
-  std::memcpy(Bytes.data() + 5, Mac.data(), Mac.size());
-  Bytes.append(Body);
-  return Bytes;
+  const PeerRecordHeader Header = sealHeader(Key, Context, Kind, Index, Body);
+  return std::string(Header.begin(), Header.end()).append(Body);
 }
 
 bool verifyRecord(const PeerKey &Key, const PeerRecordContext &Context,
--- a/src/ragwortdrift/net/peer_client.cpp
+++ b/src/ragwortdrift/net/peer_client.cpp
@@ -37,7 +37,8 @@
 
 struct detail::PeerCallState : std::enable_shared_from_this<PeerCallState> {
   std::string m_Path;
-  std::string m_Body;
+  /// The request's body until it is queued.
+  SharedMessage m_Body;
   PeerClient::OnMessage m_OnMessage;
   PeerClient::OnDone m_OnDone;
   TimerService::Subscription m_Deadline;
@@ -46,7 +47,7 @@
   PeerRecordContext m_Context;
   PeerRecordReader m_Reader;
   std::uint64_t m_NextIndex = 0;
-  std::size_t m_BodyOffset = 0;
+  RecordQueue m_Queue;
   /// Bytes that the call adds to its connection's unsent bytes: the size of the
   /// whole record until its last byte is sent, so that requests accepted under
   /// this limit stay below the receiver's limit on partial records.
@@ -140,8 +141,10 @@
   void onGoaway() override { m_Draining = true; }
   void onTick() override;
   void onClosed(PeerErrorCode Reason) override;
-  ssize_t onRead(std::int32_t Id, std::uint8_t *Buffer, std::size_t Length,
-                 bool &Eof) override;
+  ssize_t availableBody(std::int32_t Id, std::size_t Length,
+                        bool &Eof) override;
+  void takeBody(std::int32_t Id, detail::OutputBuffer &Target,
+                std::size_t Length) override;
 
 private:
   void submit(const CallPtr &Call);
@@ -190,11 +193,11 @@
 
 bool ClientSession::addCall(const CallPtr &Call) {
   if (m_Calls.size() + m_PendingCalls.size() >= m_Limits.m_MaxStreams ||
-      m_UnsentBytes + Call->m_Body.size() + PeerRecordHeaderBytes >
+      m_UnsentBytes + Call->m_Body->size() + PeerRecordHeaderBytes >
           m_Limits.m_MaxUnsentBytes)
     return false;
   m_LastUsed = m_Timers.now();
-  setReservedBytes(*Call, Call->m_Body.size() + PeerRecordHeaderBytes);
+  setReservedBytes(*Call, Call->m_Body->size() + PeerRecordHeaderBytes);
   Call->m_Session = std::static_pointer_cast<ClientSession>(shared_from_this());
   if (m_HasNonce)
     submit(Call);
@@ -214,8 +217,9 @@
       nghttp2_session_get_next_stream_id(m_Session.get()));
   Context.m_Path = Call->m_Path;
   Context.m_Sender = Client->m_Self;
-  Call->m_Body = sealRecord(Client->m_Key, Context, PeerRecordKind::Request, 0,
-                            Call->m_Body);
+  const PeerRecordHeader Header = sealHeader(
+      Client->m_Key, Context, PeerRecordKind::Request, 0, *Call->m_Body);
+  Call->m_Queue.push(Header, std::move(Call->m_Body));
   Call->m_Stream = Context.m_Stream;
   const std::string Nonce = nonceToHex(Context.m_ClientNonce);
   const std::array Headers{
@@ -239,8 +243,8 @@
 void ClientSession::removeCall(const CallPtr &Call, std::uint32_t Code) {
   std::erase(m_PendingCalls, Call);
   setReservedBytes(*Call, 0);
-  Call->m_Body.clear();
-  Call->m_BodyOffset = 0;
+  Call->m_Body.reset();
+  Call->m_Queue.clear();
   if (m_Calls.erase(Call->m_Stream) != 0)
     resetStream(Call->m_Stream, Code);
   m_LastUsed = m_Timers.now();
@@ -387,18 +391,22 @@
     Call->end(PeerError{Reason, Call->m_HeadersSent});
 }
 
-ssize_t ClientSession::onRead(std::int32_t Id, std::uint8_t *Buffer,
-                              std::size_t Length, bool &Eof) {
+ssize_t ClientSession::availableBody(std::int32_t Id, std::size_t Length,
+                                     bool &Eof) {
   const auto It = m_Calls.find(Id);
   if (It == m_Calls.end())
     return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
-  detail::PeerCallState &Call = *It->second;
-  const std::size_t Size =
-      detail::consumeBytes(Call.m_Body, Call.m_BodyOffset, Buffer, Length);
-  Eof = Call.m_Body.empty();
-  if (Eof)
+  const std::size_t Available = It->second->m_Queue.size();
+  Eof = Length >= Available;
+  return static_cast<ssize_t>(std::min(Length, Available));
+}
+
+void ClientSession::takeBody(std::int32_t Id, detail::OutputBuffer &Target,
+                             std::size_t Length) {
+  detail::PeerCallState &Call = *m_Calls.at(Id);
+  Call.m_Queue.moveTo(Target, Length);
+  if (Call.m_Queue.empty())
     setReservedBytes(Call, 0);
-  return static_cast<ssize_t>(Size);
 }
 
 } // namespace
@@ -475,7 +483,7 @@
                           OnMessage OnMsg, OnDone OnEnd) {
   auto Call = std::make_shared<detail::PeerCallState>();
   Call->m_Path = std::move(Path);
-  Call->m_Body = std::move(Body);
+  Call->m_Body = std::make_shared<const std::string>(std::move(Body));
   Call->m_OnMessage = std::move(OnMsg);
   Call->m_OnDone = std::move(OnEnd);
   Call->m_Deadline = m_Impl->m_Timers.after(
@@ -489,7 +497,7 @@
         State->cancel(NGHTTP2_CANCEL);
         OnDone(Error);
       });
-  if (Call->m_Body.size() > MaxPeerMessageBytes)
+  if (Call->m_Body->size() > MaxPeerMessageBytes)
     m_Impl->postError(Call, {PeerErrorCode::TooLarge, false});
   else
     m_Impl->startCall(Call, {Ip, Port});
--- a/src/ragwortdrift/net/peer_server.cpp
+++ b/src/ragwortdrift/net/peer_server.cpp
@@ -6,6 +6,8 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
+#include <vector>
 
 namespace ragwortdrift {
 
@@ -60,7 +62,9 @@
 
   std::size_t unsentBytes() const { return m_UnsentBytes; }
 
-  bool send(std::int32_t Id, PeerRecordKind Kind, std::string_view Body);
+  bool send(std::int32_t Id, PeerRecordKind Kind, SharedMessage Body);
+  std::size_t unsentBytes(std::int32_t Id) const;
+  void onDrained(std::int32_t Id, std::function<void()> Callback);
   void resetIfUnfinished(std::int32_t Id);
   bool onCancel(std::int32_t Id, std::function<void()> &Callback);
 
@@ -72,8 +76,11 @@
   void onEndStream(std::int32_t Id) override;
   void onStreamClosed(std::int32_t Id, std::uint32_t Code) override;
   void onClosed(PeerErrorCode Reason) override;
-  ssize_t onRead(std::int32_t Id, std::uint8_t *Buffer, std::size_t Length,
-                 bool &Eof) override;
+  ssize_t availableBody(std::int32_t Id, std::size_t Length,
+                        bool &Eof) override;
+  void takeBody(std::int32_t Id, detail::OutputBuffer &Target,
+                std::size_t Length) override;
+  void onWritten() override;
 
 private:
   struct Stream {
@@ -83,19 +90,25 @@
     bool m_HeadersSubmitted = false;
     bool m_Finished = false;
     std::uint64_t m_NextIndex = 0;
-    std::string m_Output;
-    std::size_t m_OutputOffset = 0;
+    detail::RecordQueue m_Queue;
+    /// Bytes that were taken from the queue and are being written.
+    std::size_t m_WritingBytes = 0;
     std::function<void()> m_OnCancel;
+    std::function<void()> m_OnDrained;
   };
 
   void rejectStream(std::int32_t Id, std::uint32_t Code);
   void removeStream(std::map<std::int32_t, Stream>::iterator It);
   void dispatch(std::int32_t Id, const std::string &Body);
+  void notifyDrained(std::int32_t Id);
 
   std::weak_ptr<PeerServer::Impl> m_Server;
   PeerNonce m_Nonce;
   std::map<std::int32_t, Stream> m_Streams;
   std::size_t m_PartialBytes = 0;
+  /// Bytes of all responses that are being written, also of removed streams.
+  std::size_t m_WritingBytes = 0;
+  std::vector<std::int32_t> m_WritingStreams;
 };
 
 class ServerResponse : public ResponseStream {
@@ -108,13 +121,23 @@
     if (const auto Session = m_Session.lock())
       Session->resetIfUnfinished(m_Id);
   }
-  bool send(std::string Message) override {
+  bool send(SharedMessage Message) override {
     const auto Session = m_Session.lock();
-    return Session && Session->send(m_Id, PeerRecordKind::Message, Message);
+    return Session &&
+           Session->send(m_Id, PeerRecordKind::Message, std::move(Message));
+  }
+  std::size_t unsentBytes() const override {
+    const auto Session = m_Session.lock();
+    return Session ? Session->unsentBytes(m_Id) : 0;
+  }
+  void onDrained(std::function<void()> Callback) override {
+    if (const auto Session = m_Session.lock())
+      Session->onDrained(m_Id, std::move(Callback));
   }
   void finish() override {
+    static const auto EmptyBody = std::make_shared<const std::string>();
     if (const auto Session = m_Session.lock())
-      Session->send(m_Id, PeerRecordKind::Finish, {});
+      Session->send(m_Id, PeerRecordKind::Finish, EmptyBody);
   }
   void onCancel(std::function<void()> Callback) override {
     const auto Session = m_Session.lock();
@@ -135,7 +158,7 @@
 
 void ServerSession::removeStream(std::map<std::int32_t, Stream>::iterator It) {
   m_PartialBytes -= It->second.m_Reader.buffered();
-  m_UnsentBytes -= It->second.m_Output.size() - It->second.m_OutputOffset;
+  m_UnsentBytes -= It->second.m_Queue.size();
   m_Streams.erase(It);
 }
 
@@ -216,22 +239,22 @@
 }
 
 bool ServerSession::send(std::int32_t Id, PeerRecordKind Kind,
-                         std::string_view Body) {
+                         SharedMessage Body) {
   const auto It = m_Streams.find(Id);
   const auto Server = m_Server.lock();
   if (It == m_Streams.end() || isClosed() || !Server || It->second.m_Finished)
     return false;
   Stream &Response = It->second;
-  if (Body.size() > MaxPeerMessageBytes ||
-      m_UnsentBytes + Body.size() + PeerRecordHeaderBytes >
-          m_Limits.m_MaxUnsentBytes) {
+  const std::size_t Size = Body->size() + PeerRecordHeaderBytes;
+  if (Body->size() > MaxPeerMessageBytes ||
+      m_UnsentBytes + Size > m_Limits.m_MaxUnsentBytes) {
     rejectStream(Id, NGHTTP2_ENHANCE_YOUR_CALM);
     return false;
   }
-  const std::string Record = sealRecord(Server->m_Key, Response.m_Context, Kind,
-                                        Response.m_NextIndex++, Body);
-  Response.m_Output += Record;
-  m_UnsentBytes += Record.size();
+  const PeerRecordHeader Header = sealHeader(
+      Server->m_Key, Response.m_Context, Kind, Response.m_NextIndex++, *Body);
+  Response.m_Queue.push(Header, std::move(Body));
+  m_UnsentBytes += Size;
   Response.m_Finished = Kind == PeerRecordKind::Finish;
   if (!Response.m_HeadersSubmitted) {
     Response.m_HeadersSubmitted = true;
@@ -254,6 +277,18 @@
     rejectStream(Id, NGHTTP2_INTERNAL_ERROR);
 }
 
+std::size_t ServerSession::unsentBytes(std::int32_t Id) const {
+  const auto It = m_Streams.find(Id);
+  return It == m_Streams.end()
+             ? 0
+             : It->second.m_Queue.size() + It->second.m_WritingBytes;
+}
+
+void ServerSession::onDrained(std::int32_t Id, std::function<void()> Callback) {
+  if (const auto It = m_Streams.find(Id); It != m_Streams.end())
+    It->second.m_OnDrained = std::move(Callback);
+}
+
 bool ServerSession::onCancel(std::int32_t Id, std::function<void()> &Callback) {
   const auto It = m_Streams.find(Id);
   if (It == m_Streams.end() || isClosed())
@@ -266,7 +301,7 @@
   const auto It = m_Streams.find(Id);
   if (It == m_Streams.end())
     return;
-  const bool Complete = It->second.m_Finished && It->second.m_Output.empty();
+  const bool Complete = It->second.m_Finished && It->second.m_Queue.empty();
   auto Callback = std::move(It->second.m_OnCancel);
   removeStream(It);
   if (!Complete && Callback)
@@ -292,21 +327,53 @@
       Entry.m_OnCancel();
 }
 
-ssize_t ServerSession::onRead(std::int32_t Id, std::uint8_t *Buffer,
-                              std::size_t Length, bool &Eof) {
+ssize_t ServerSession::availableBody(std::int32_t Id, std::size_t Length,
+                                     bool &Eof) {
   const auto It = m_Streams.find(Id);
   if (It == m_Streams.end())
     return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
-  Stream &Response = It->second;
-  if (Response.m_Output.empty() && !Response.m_Finished)
+  const Stream &Response = It->second;
+  if (Response.m_Queue.empty() && !Response.m_Finished)
     return NGHTTP2_ERR_DEFERRED;
-  const std::size_t Size = detail::consumeBytes(
-      Response.m_Output, Response.m_OutputOffset, Buffer, Length);
-  m_UnsentBytes -= Size;
-  Eof = Response.m_Output.empty() && Response.m_Finished;
+  const std::size_t Size = std::min(Length, Response.m_Queue.size());
+  Eof = Response.m_Finished && Size == Response.m_Queue.size();
   return static_cast<ssize_t>(Size);
 }
 
+void ServerSession::takeBody(std::int32_t Id, detail::OutputBuffer &Target,
+                             std::size_t Length) {
+  Stream &Response = m_Streams.at(Id);
+  Response.m_Queue.moveTo(Target, Length);
+  if (Response.m_WritingBytes == 0)
+    m_WritingStreams.push_back(Id);
+  Response.m_WritingBytes += Length;
+  m_WritingBytes += Length;
+}
+
+void ServerSession::onWritten() {
+  m_UnsentBytes -= std::exchange(m_WritingBytes, 0);
+  for (const std::int32_t Id : std::exchange(m_WritingStreams, {})) {
+    const auto It = m_Streams.find(Id);
+    if (It == m_Streams.end())
+      continue;
+    It->second.m_WritingBytes = 0;
+    if (It->second.m_OnDrained && unsentBytes(Id) == 0)
+      defer([this, Id] { notifyDrained(Id); });
+  }
+}
+
+void ServerSession::notifyDrained(std::int32_t Id) {
+  const auto It = m_Streams.find(Id);
+  const auto Server = m_Server.lock();
+  // An earlier event may have sent the next message.
+  if (It == m_Streams.end() || isClosed() || !Server || Server->m_Stopped ||
+      It->second.m_Finished || unsentBytes(Id) != 0)
+    return;
+  // The callback may end the stream, which destroys the function object.
+  const auto Callback = It->second.m_OnDrained;
+  Callback();
+}
+
 } // namespace
 
 void PeerServer::Impl::accept() {
--- a/src/ragwortdrift/net/peer_session.cpp
+++ b/src/ragwortdrift/net/peer_session.cpp
@@ -11,11 +11,14 @@
 
 namespace {
 
-constexpr std::size_t WriteChunkBytes = std::size_t{256} << 10;
+/// A write carries at most this and one frame, so that control frames do not
+/// wait long.
+constexpr std::size_t WriteChunkBytes = std::size_t{64} << 10;
 /// A stream's window holds a message of maximum size, so that a message never
 /// waits for a window update.
 constexpr std::int32_t StreamWindowBytes = (1 << 20) + 65536;
 constexpr std::int32_t ConnectionWindowBytes = 4 << 20;
+constexpr std::size_t FrameHeaderBytes = 9;
 
 std::string_view asView(const std::uint8_t *Data, std::size_t Size) {
   return {reinterpret_cast<const char *>(Data), Size};
@@ -95,15 +98,24 @@
     return 0;
   }
   static ssize_t readBody(nghttp2_session *, std::int32_t Stream,
-                          std::uint8_t *Buffer, std::size_t Length,
+                          std::uint8_t *, std::size_t Length,
                           std::uint32_t *Flags, nghttp2_data_source *,
                           void *UserData) {
     bool Eof = false;
-    const ssize_t Size = self(UserData).onRead(Stream, Buffer, Length, Eof);
+    const ssize_t Size = self(UserData).availableBody(Stream, Length, Eof);
+    *Flags |= NGHTTP2_DATA_FLAG_NO_COPY;
     if (Eof)
       *Flags |= NGHTTP2_DATA_FLAG_EOF;
     return Size;
   }
+  static int sendData(nghttp2_session *, nghttp2_frame *Frame,
+                      const std::uint8_t *Header, std::size_t Length,
+                      nghttp2_data_source *, void *UserData) {
+    PeerSession &Self = self(UserData);
+    Self.m_Output.append(asView(Header, FrameHeaderBytes));
+    Self.takeBody(Frame->hd.stream_id, Self.m_Output, Length);
+    return Self.m_Output.size() < WriteChunkBytes ? 0 : NGHTTP2_ERR_PAUSE;
+  }
 
   static nghttp2_session *make(PeerSession &Self, PeerSession::Role LocalRole) {
     nghttp2_session_callbacks *Callbacks = nullptr;
@@ -123,6 +135,7 @@
         Callbacks, extensionChunk);
     nghttp2_session_callbacks_set_unpack_extension_callback(Callbacks,
                                                             unpackExtension);
+    nghttp2_session_callbacks_set_send_data_callback(Callbacks, sendData);
     nghttp2_option *Options = nullptr;
     nghttp2_option_new(&Options);
     if (LocalRole == PeerSession::Role::Client)
@@ -227,20 +240,19 @@
 void PeerSession::writePending() {
   if (m_Writing || m_Closed)
     return;
-  m_WriteBuffer.clear();
-  while (m_WriteBuffer.size() < WriteChunkBytes) {
+  while (m_Output.size() < WriteChunkBytes) {
     const std::uint8_t *Data = nullptr;
     const ssize_t Size = nghttp2_session_mem_send(m_Session.get(), &Data);
     if (Size < 0)
       return close(PeerErrorCode::Protocol);
     if (Size == 0)
       break;
-    m_WriteBuffer.append(asView(Data, static_cast<std::size_t>(Size)));
+    m_Output.append(asView(Data, static_cast<std::size_t>(Size)));
   }
   runEvents();
   if (m_Closed)
     return;
-  if (m_WriteBuffer.empty()) {
+  if (m_Output.size() == 0) {
     // nghttp2 has terminated the session, for example after a protocol error.
     if (nghttp2_session_want_read(m_Session.get()) == 0 &&
         nghttp2_session_want_write(m_Session.get()) == 0)
@@ -248,14 +260,17 @@
     return;
   }
   m_Writing = true;
-  asio::async_write(m_Socket, asio::buffer(m_WriteBuffer),
+  asio::async_write(m_Socket, m_Output.buffers(),
                     [Self = shared_from_this()](boost::system::error_code Error,
                                                 std::size_t) {
                       Self->m_Writing = false;
+                      Self->m_Output.clear();
                       if (Self->m_Closed)
                         return;
                       if (Error)
                         return Self->close(PeerErrorCode::ConnectionLost);
+                      Self->onWritten();
+                      Self->runEvents();
                       Self->writePending();
                     });
 }
@@ -285,18 +300,6 @@
   return Provider;
 }
 
-std::size_t consumeBytes(std::string &Source, std::size_t &Offset,
-                         std::uint8_t *Buffer, std::size_t Length) {
-  const std::size_t Size = std::min(Length, Source.size() - Offset);
-  std::copy_n(Source.data() + Offset, Size, Buffer);
-  Offset += Size;
-  if (Offset == Source.size()) {
-    Source.clear();
-    Offset = 0;
-  }
-  return Size;
-}
-
 nghttp2_nv makeHeader(std::string_view Name, std::string_view Value) {
   // nghttp2 copies both without modifying them; its type is not const.
   return {reinterpret_cast<std::uint8_t *>(const_cast<char *>(Name.data())),
--- a/src/ragwortdrift/net/peer_session.hpp
+++ b/src/ragwortdrift/net/peer_session.hpp
@@ -1,6 +1,7 @@
 #ifndef RAGWORTDRIFT_NET_PEER_SESSION_HPP
 #define RAGWORTDRIFT_NET_PEER_SESSION_HPP
 
+#include "peer_output.hpp"
 #include "ragwortdrift/net/peer_client.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -57,11 +58,16 @@
   virtual void onGoaway() {}
   virtual void onTick() {}
   virtual void onClosed(PeerErrorCode Reason) = 0;
-  /// Copies up to Length bytes of the stream's body to Buffer and returns their
-  /// number. Sets Eof after the last byte. Returns a negative error code as
-  /// specified for nghttp2_data_source_read_callback.
-  virtual ssize_t onRead(std::int32_t Stream, std::uint8_t *Buffer,
-                         std::size_t Length, bool &Eof) = 0;
+  /// Returns how many of the next Length bytes of the stream's body can be sent
+  /// now; takeBody() follows. Sets Eof if these include the last byte. Returns
+  /// a negative error code as specified for nghttp2_data_source_read_callback.
+  virtual ssize_t availableBody(std::int32_t Stream, std::size_t Length,
+                                bool &Eof) = 0;
+  /// Moves the next Length bytes of the stream's body to Target.
+  virtual void takeBody(std::int32_t Stream, OutputBuffer &Target,
+                        std::size_t Length) = 0;
+  /// All bytes that were taken have been written to the socket.
+  virtual void onWritten() {}
   nghttp2_data_provider bodyProvider();
 
   boost::asio::ip::tcp::socket m_Socket;
@@ -85,15 +91,11 @@
   TimerService::Subscription m_Tick;
   std::deque<std::function<void()>> m_Events;
   std::array<std::uint8_t, 65536> m_ReadBuffer;
-  std::string m_WriteBuffer;
+  /// The bytes of the running write.
+  OutputBuffer m_Output;
   std::string m_ReceivedNonce;
 };
 
-/// Copies up to Length bytes of Source, starting at Offset, to Buffer and
-/// returns their number. Advances Offset; clears Source after its last byte.
-std::size_t consumeBytes(std::string &Source, std::size_t &Offset,
-                         std::uint8_t *Buffer, std::size_t Length);
-
 nghttp2_nv makeHeader(std::string_view Name, std::string_view Value);
 
 } // namespace ragwortdrift::detail
