Bound what the kernel takes of a message that is not read

What callers saw: nothing by itself; a core VM that sends the newest state once the last is written would take a watcher that does not read for one that is up to date. Cause: the kernel grows the send buffer of a connection up to 4 MiB, and bytes in it count as written. Evidence: peer_memory/unread_state_is_unsent failed before: "20 reported as drained", "0 bytes unsent" of 20 states of 400 KiB that nobody read. Change: TCP_NOTSENT_LOWAT of 64 KiB on connections between VMs.

--- a/src/ragwortdrift/net/peer_memory_test.cpp
+++ b/src/ragwortdrift/net/peer_memory_test.cpp
@@ -193,6 +193,24 @@
   cr_expect(growthSince(Before) <= 4 * KiB);
 }
 
+// Guards against states that pile up in the send buffers of the kernel, where
+// they count as sent: the next state follows although the last is not read.
+Test(peer_memory, unread_state_is_unsent) {
+  constexpr std::size_t Count = 20;
+  WatchFixture Fixture;
+  Fixture.addWatchers(Count);
+  std::size_t DrainCount = 0;
+  for (const auto &Response : Fixture.m_Responses)
+    Response->onDrained([&] { ++DrainCount; });
+  Fixture.sendAll(std::string(StateBytes, 's'));
+  Fixture.runServer(300ms);
+  cr_expect(DrainCount == 0, "%zu reported as drained", DrainCount);
+  // The receiver's kernel takes about 64 KiB, the sender's as much.
+  const std::size_t Unsent = Fixture.m_Server->unsentBytes();
+  cr_expect(Unsent >= Count * StateBytes / 2, "%zu bytes unsent", Unsent);
+  cr_expect(Fixture.runUntil([&] { return DrainCount == Count; }));
+}
+
 // Guards against a sender that takes a slow reader for one that is up to date,
 // and against a callback inside send().
 Test(peer_memory, reports_drained_responses) {
--- a/src/ragwortdrift/net/peer_session.cpp
+++ b/src/ragwortdrift/net/peer_session.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include <netinet/tcp.h>
+
 #include <algorithm>
 
 namespace ragwortdrift::detail {
@@ -19,8 +21,15 @@
 constexpr std::int32_t StreamWindowBytes = (1 << 20) + 65536;
 constexpr std::int32_t ConnectionWindowBytes = 4 << 20;
 constexpr std::size_t FrameHeaderBytes = 9;
+/// Bytes that the kernel takes before the peer's window admits them. By default
+/// it takes up to 4 MiB a connection, and they would count as written. 64 KiB
+/// keep a link busy until the next write.
+constexpr int KernelUnsentBytes = 64 << 10;
 constexpr std::size_t ReadChunkBytes = std::size_t{64} << 10;
 
+using UnsentLimit =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
+
 std::string_view asView(const std::uint8_t *Data, std::size_t Size) {
   return {reinterpret_cast<const char *>(Data), Size};
 }
@@ -175,6 +184,8 @@
   boost::system::error_code Ignored;
   m_Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
   m_Socket.non_blocking(true, Ignored);
+  // Without the option, only the bound on the kernel's memory is lost.
+  m_Socket.set_option(UnsentLimit(KernelUnsentBytes), Ignored);
   m_LastReceived = m_Timers.now();
   m_Tick = m_Timers.every(PeerPingInterval, [Weak = weak_from_this()] {
     if (const auto Self = Weak.lock())
