Send watchers deltas, and nothing while earlier bytes are unsent

What callers saw: a core VM of 256 MB was ended by its memory limit when configurations changed after a large one.

Cause: each change encoded the whole state and list for each watcher, and queued them behind what a slow watcher had not read yet. The growth follows watchers times configuration size times unread changes.

Evidence: watcher_memory, 60 watchers of which 30 do not read, 20 changes of a configuration of 400 KiB, on the code before: "heap grew by bytes, unsent", "The expression (Growth) <= (WatcherCount * MaxBytesPerWatcher + (16U << 20)) is false"; a change of one route sent 409,706 bytes to each watcher.

Change: state and list are messages of their own that take effect with the next report, encoded once for all watchers. A watcher with a recent revision or list version receives a delta. One with unsent bytes receives the latest content when these are sent, and no estimates until then. A delta that does not fit its base, known by hash, makes an entry VM open its watch again for the whole content; a core VM does the same with the leader's list. A watcher whose stream refuses a message is forgotten at once instead of at its next watch.

--- a/include/ragwortdrift/fleet/core_node.hpp
+++ b/include/ragwortdrift/fleet/core_node.hpp
@@ -6,8 +6,10 @@
 #include "ragwortdrift/consensus/replicated_log.hpp"
 #include "ragwortdrift/fleet/fleet_settings.hpp"
 #include "ragwortdrift/fleet/leaf_list_reader.hpp"
+#include "ragwortdrift/fleet/list_updates.hpp"
 #include "ragwortdrift/fleet/messages.hpp"
 #include "ragwortdrift/fleet/observation_aggregator.hpp"
+#include "ragwortdrift/fleet/state_updates.hpp"
 #include "ragwortdrift/net/peer_client.hpp"
 #include "ragwortdrift/net/peer_server.hpp"
 
@@ -51,8 +53,11 @@
     WatchKind m_Kind = WatchKind::Content;
     std::uint64_t m_SentRevision = 0;
     ListVersion m_SentListVersion;
+    /// A report is due as soon as the earlier ones are sent.
+    bool m_ReportPending = false;
   };
   using StreamPtr = std::shared_ptr<ResponseStream>;
+  using SharedMessage = std::shared_ptr<const std::string>;
 
   // Replicated log.
   Result<Done, StoreError> openLog();
@@ -95,8 +100,14 @@
   /// responses are unsent.
   void logMemory();
   CoreReport makeReport();
-  void sendReport(Watcher &Receiver);
+  /// Sends a watcher the updates that it lacks, then the report. A watcher with
+  /// unsent bytes receives the then latest ones as soon as these are sent, so
+  /// that a slow watcher takes no memory for outdated states.
+  void sendReport(std::uint64_t WatcherId, const CoreReport &Report,
+                  const SharedMessage &EncodedReport);
+  void sendReport(std::uint64_t WatcherId);
   void sendReports();
+  void onWatcherDrained(std::uint64_t WatcherId);
   /// Schedules one report for all log entries that are applied in the same
   /// batch.
   void scheduleReports();
@@ -110,8 +121,10 @@
   // Leaf list.
   void updateLeafList();
   void readLeafList();
+  void setList(LeafList List, ListVersion Version);
   /// Receives the list from the leader, which reads it for all core VMs.
   void followLeaderList();
+  void onLeaderMessage(const std::string &Message);
   bool isListFresh() const;
 
   // Observations of leafs by entry VMs.
@@ -130,6 +143,7 @@
   LeafListReader m_ListReader;
   std::unique_ptr<ReplicatedLog> m_Log;
   RoutingState m_State;
+  StateUpdates m_StateUpdates;
   std::map<LogIndex, RoutingCommandOutcome> m_AppliedOutcomes;
   std::map<VmId, TimePoint> m_PeerLastContactAt;
   std::set<std::string> m_OtherCoreAddresses;
@@ -151,10 +165,15 @@
   std::map<VmId, TimePoint> m_EntryLastSeenAt;
   LeafList m_Leafs;
   ListVersion m_ListVersion;
+  ListUpdates m_ListUpdates;
   std::optional<TimePoint> m_ListReadAt;
   /// Address of the leader whose list this VM follows.
   std::string m_ListLeader;
   PeerCall m_ListWatch;
+  /// Takes effect with the leader's next report.
+  std::optional<ListUpdate> m_LeaderUpdate;
+  /// An update of the leader was not applicable.
+  bool m_NeedsWholeList = false;
   ObservationAggregator m_Aggregator;
   /// Observations from entry VMs not yet shared with the other core VMs.
   std::map<LeafId, LeafObservation> m_NewObservations;
--- a/include/ragwortdrift/fleet/entry_control.hpp
+++ b/include/ragwortdrift/fleet/entry_control.hpp
@@ -53,13 +53,21 @@
     TimerService::Subscription m_Retry;
     bool m_Connected = false;
     ContentVersion m_Version;
+    /// Updates that take effect with the next report.
+    std::optional<StateUpdate> m_StateUpdate;
+    std::optional<ListUpdate> m_ListUpdate;
+    /// An update was not applicable; the next request asks for all content.
+    bool m_NeedsWholeState = false;
+    bool m_NeedsWholeList = false;
   };
 
   void openMissingWatches();
   void openWatch(const std::string &Address);
   void onWatchEnd(const std::string &Address,
                   const Result<Done, PeerError> &EndResult);
+  void onMessage(const std::string &Sender, const std::string &Message);
   void onReport(const std::string &Sender, CoreReport Report);
+  void takeUpdates(const std::string &Sender, Watch &CoreWatch);
   ContentVersion localVersion() const;
   SourceDecision evaluateSource(const Watch &CoreWatch) const;
   /// Switches to a core VM that has newer content than the current source, or
@@ -86,9 +94,14 @@
   /// Runs while a switch to another core VM is pending.
   TimerService::Subscription m_SourceTimer;
   std::uint64_t m_Revision = 0;
+  /// The configuration of m_Revision, the base of the next delta.
+  ConfigText m_Config;
   std::uint64_t m_ConfigVersion = 0;
   std::size_t m_EntryCount = 1;
   ListVersion m_ListVersion;
+  /// The list of m_ListVersion, the base of the next delta; lists that this VM
+  /// reads itself have no version.
+  LeafList m_Leafs;
   TimePoint m_StartedAt;
   /// Last time at which the local list was confirmed to be the newest.
   TimePoint m_ListConfirmedAt;
--- a/include/ragwortdrift/fleet/messages.hpp
+++ b/include/ragwortdrift/fleet/messages.hpp
@@ -6,8 +6,10 @@
 #include "ragwortdrift/dispatch/leaf_list.hpp"
 #include "ragwortdrift/dispatch/leaf_observation.hpp"
 #include "ragwortdrift/routing/routing_state.hpp"
+#include "ragwortdrift/routing/text_delta.hpp"
 
 #include <optional>
+#include <variant>
 
 namespace ragwortdrift {
 
@@ -32,7 +34,7 @@
   ListForCore
 };
 
-/// Opens a stream of CoreReport messages from a core VM.
+/// Opens a stream of WatchMessages from a core VM.
 struct WatchRequest {
   WatchKind m_Kind = WatchKind::Content;
   /// Revision of the routing state that the watcher already has.
@@ -44,15 +46,40 @@
   }
 };
 
+/// The routing state for a watcher whose state is older.
+struct StateUpdate {
+  std::uint64_t m_Revision = 0;
+  std::set<FailureDomain> m_DomainsOut;
+  std::uint32_t m_EntryCount = 0;
+  std::uint64_t m_ConfigVersion = 0;
+  /// The text of the configuration, or a delta against that of the state that
+  /// the watcher has.
+  std::variant<std::string, TextDelta> m_Config;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_Revision, m_DomainsOut, m_EntryCount, m_ConfigVersion, m_Config);
+  }
+};
+
+/// The leaf list for a watcher whose list is older.
+struct ListUpdate {
+  ListVersion m_Version;
+  /// True if the update is relative to the list that the watcher has.
+  bool m_IsDelta = false;
+  /// All entries, or the added and changed ones.
+  LeafList m_Changed;
+  std::vector<LeafId> m_Removed;
+  /// hashList of the resulting list.
+  std::uint64_t m_Hash = 0;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_Version, m_IsDelta, m_Changed, m_Removed, m_Hash);
+  }
+};
+
 /// Report of a core VM to a watcher, sent at once when something changes, and
-/// periodically.
+/// periodically. The updates that precede it take effect with it.
 struct CoreReport {
   /// Failure domain of the core VM.
   FailureDomain m_Domain;
-  /// The routing state, if newer than the one sent before.
-  std::optional<RoutingState> m_State;
-  /// The leaf list, if newer than the one sent before.
-  std::optional<LeafList> m_Leafs;
   /// Leafs that are slow or failing; leafs that are not listed are neither.
   /// Absent if nothing is known.
   std::optional<std::vector<LeafEstimate>> m_Estimates;
@@ -67,11 +94,13 @@
   /// Number of entry VMs seen recently.
   std::uint32_t m_EntryCount = 0;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(m_Domain, m_State, m_Leafs, m_Estimates, m_Revision, m_ListVersion,
-       m_ListAge, m_Cores, m_EntryCount);
+    Ar(m_Domain, m_Estimates, m_Revision, m_ListVersion, m_ListAge, m_Cores,
+       m_EntryCount);
   }
 };
 
+using WatchMessage = std::variant<CoreReport, StateUpdate, ListUpdate>;
+
 /// Sends a core VM the observations of leafs since the previous report.
 struct ObservationReport {
   /// True if a core VM forwarded the observations; they are not forwarded
--- a/src/ragwortdrift/fleet/core_leaf_list.cpp
+++ b/src/ragwortdrift/fleet/core_leaf_list.cpp
@@ -53,21 +53,17 @@
 void CoreNode::readLeafList() {
   const std::uint64_t CallCountBefore = m_ListReader.callCount();
   const std::uint64_t Term = m_Log->status().m_Term;
-  if (m_ListVersion == ListVersion{} && isListFresh()) {
-    m_ListVersion = {Term, 1};
-    sendReports();
-  }
+  if (m_ListVersion == ListVersion{} && isListFresh())
+    setList(m_Leafs, {Term, 1});
   m_ListReader.read([this, CallCountBefore,
                      Term](Result<LeafList, ListError> ReadResult) {
     if (isOk(ReadResult)) {
       m_ListReadAt = m_Timers.now();
-      if (m_ListVersion.m_Term != Term || valueOf(ReadResult) != m_Leafs) {
-        m_Leafs = valueOf(std::move(ReadResult));
-        m_ListVersion = m_ListVersion.m_Term == Term
-                            ? ListVersion{Term, m_ListVersion.m_Number + 1}
-                            : ListVersion{Term, 1};
-        sendReports();
-      }
+      if (m_ListVersion.m_Term != Term || valueOf(ReadResult) != m_Leafs)
+        setList(valueOf(std::move(ReadResult)),
+                m_ListVersion.m_Term == Term
+                    ? ListVersion{Term, m_ListVersion.m_Number + 1}
+                    : ListVersion{Term, 1});
     }
     const double CallCount =
         static_cast<double>(m_ListReader.callCount() - CallCountBefore);
@@ -79,36 +75,29 @@
   });
 }
 
+void CoreNode::setList(LeafList List, ListVersion Version) {
+  m_ListUpdates.record(m_ListVersion, m_Leafs, Version, List);
+  m_Leafs = std::move(List);
+  m_ListVersion = Version;
+  sendReports();
+}
+
 void CoreNode::followLeaderList() {
   const std::string Leader = leaderAddress();
-  if (Leader == m_ListLeader && m_ListWatch.isOpen())
+  if (Leader == m_ListLeader && m_ListWatch.isOpen() && !m_NeedsWholeList)
     return;
   m_ListWatch = {};
+  m_LeaderUpdate.reset();
   m_ListLeader = Leader;
   const auto Target = parseEndpoint(Leader);
   if (!Target || Leader == m_Address)
     return;
-  const WatchRequest Request{WatchKind::ListForCore, 0, m_ListVersion};
+  const WatchRequest Request{
+      WatchKind::ListForCore, 0,
+      std::exchange(m_NeedsWholeList, false) ? ListVersion{} : m_ListVersion};
   m_ListWatch = m_PeerClient.open(
       Target->m_Ip, Target->m_Port, "/watch", encode(Request), WatchDeadline,
-      [this](const std::string &Message) {
-        auto DecodeResult = decode<CoreReport>(Message);
-        if (!isOk(DecodeResult)) {
-          logEvent(LogSeverity::Warning, "core.bad_report",
-                   {{"core", m_ListLeader}});
-          return;
-        }
-        CoreReport &Report = valueOf(DecodeResult);
-        // A former leader may not have detected yet that it was replaced.
-        if (!Report.m_ListAge || Report.m_ListVersion < m_ListVersion)
-          return;
-        m_ListReadAt = m_Timers.now() - *Report.m_ListAge;
-        if (!Report.m_Leafs || Report.m_ListVersion == m_ListVersion)
-          return;
-        m_Leafs = std::move(*Report.m_Leafs);
-        m_ListVersion = Report.m_ListVersion;
-        sendReports();
-      },
+      [this](const std::string &Message) { onLeaderMessage(Message); },
       [this](const Result<Done, PeerError> &EndResult) {
         logEvent(
             LogSeverity::Warning, "leaf_list.leader_lost",
@@ -118,4 +107,35 @@
       });
 }
 
+void CoreNode::onLeaderMessage(const std::string &Message) {
+  auto DecodeResult = decode<WatchMessage>(Message);
+  if (!isOk(DecodeResult)) {
+    logEvent(LogSeverity::Warning, "core.bad_report", {{"core", m_ListLeader}});
+    return;
+  }
+  if (auto *Update = std::get_if<ListUpdate>(&valueOf(DecodeResult)))
+    m_LeaderUpdate = std::move(*Update);
+  const auto *Report = std::get_if<CoreReport>(&valueOf(DecodeResult));
+  if (!Report)
+    return;
+  auto Update = std::exchange(m_LeaderUpdate, std::nullopt);
+  // A former leader may not have detected yet that it was replaced.
+  if (!Report->m_ListAge || Report->m_ListVersion < m_ListVersion)
+    return;
+  std::optional<LeafList> List;
+  if (Update && Update->m_Version > m_ListVersion) {
+    const bool IsDelta = Update->m_IsDelta;
+    List = applyUpdate(m_Leafs, std::move(*Update));
+    if (!List) {
+      logEvent(LogSeverity::Warning, "leaf_list.update_refused",
+               {{"core", m_ListLeader}, {"delta", IsDelta}});
+      m_NeedsWholeList = IsDelta;
+      return;
+    }
+  }
+  m_ListReadAt = m_Timers.now() - *Report->m_ListAge;
+  if (List)
+    setList(std::move(*List), Report->m_ListVersion);
+}
+
 } // namespace ragwortdrift
--- a/src/ragwortdrift/fleet/core_membership.cpp
+++ b/src/ragwortdrift/fleet/core_membership.cpp
@@ -199,11 +199,13 @@
   });
   const std::uint64_t Id = m_NextWatcherId++;
   const WatchRequest &WatcherState = valueOf(Message);
-  Watcher &NewWatcher = m_Watchers[Id];
-  NewWatcher = {Request.m_Sender, Response, WatcherState.m_Kind,
-                WatcherState.m_Revision, WatcherState.m_ListVersion};
+  m_Watchers[Id] = {Request.m_Sender, Response, WatcherState.m_Kind,
+                    WatcherState.m_Revision, WatcherState.m_ListVersion};
   Response->onCancel([this, Id] { m_Watchers.erase(Id); });
-  sendReport(NewWatcher);
+  Response->onDrained([this, Id] { onWatcherDrained(Id); });
+  if (WatcherState.m_Kind != WatchKind::ListForCore)
+    m_EntryLastSeenAt[Request.m_Sender] = m_Timers.now();
+  sendReport(Id);
 }
 
 CoreReport CoreNode::makeReport() {
@@ -220,23 +222,48 @@
   return Report;
 }
 
-void CoreNode::sendReport(Watcher &Receiver) {
-  if (Receiver.m_Kind != WatchKind::ListForCore)
-    m_EntryLastSeenAt[Receiver.m_Vm] = m_Timers.now();
-  CoreReport Report = makeReport();
+void CoreNode::sendReport(std::uint64_t WatcherId, const CoreReport &Report,
+                          const SharedMessage &EncodedReport) {
+  const auto Position = m_Watchers.find(WatcherId);
+  if (Position == m_Watchers.end())
+    return;
+  Watcher &Receiver = Position->second;
+  const auto Stream = Receiver.m_Stream;
+  Receiver.m_ReportPending = Stream->unsentBytes() > 0;
+  if (Receiver.m_ReportPending)
+    return;
+  std::vector<SharedMessage> Messages;
   if (Receiver.m_Kind == WatchKind::Content &&
       Report.m_Revision > Receiver.m_SentRevision) {
-    Report.m_State = m_State;
-    ++m_StatesSent;
+    Messages.push_back(
+        m_StateUpdates.message(m_State, Receiver.m_SentRevision));
     Receiver.m_SentRevision = m_State.m_Revision;
+    ++m_StatesSent;
   }
   if (Receiver.m_Kind != WatchKind::VersionsOnly &&
       Report.m_ListVersion > Receiver.m_SentListVersion) {
-    Report.m_Leafs = m_Leafs;
+    Messages.push_back(m_ListUpdates.message(m_ListVersion, m_Leafs,
+                                             Receiver.m_SentListVersion));
     Receiver.m_SentListVersion = m_ListVersion;
   }
-  const auto Stream = Receiver.m_Stream;
-  Stream->send(encode(Report));
+  Messages.push_back(EncodedReport);
+  for (const SharedMessage &Message : Messages)
+    if (!Stream->send(Message)) {
+      m_Watchers.erase(WatcherId);
+      return;
+    }
+}
+
+void CoreNode::sendReport(std::uint64_t WatcherId) {
+  const CoreReport Report = makeReport();
+  sendReport(WatcherId, Report,
+             std::make_shared<const std::string>(encode(WatchMessage(Report))));
+}
+
+void CoreNode::onWatcherDrained(std::uint64_t WatcherId) {
+  const auto Position = m_Watchers.find(WatcherId);
+  if (Position != m_Watchers.end() && Position->second.m_ReportPending)
+    sendReport(WatcherId);
 }
 
 bool CoreNode::canServeState() {
@@ -260,13 +287,16 @@
 void CoreNode::sendReports() {
   // Sending a report may fail and remove its watcher from the map.
   std::vector<std::uint64_t> Ids;
-  for (const auto &[Id, Receiver] : m_Watchers)
+  for (const auto &[Id, Receiver] : m_Watchers) {
     Ids.push_back(Id);
-  for (const std::uint64_t Id : Ids) {
-    const auto Position = m_Watchers.find(Id);
-    if (Position != m_Watchers.end())
-      sendReport(Position->second);
+    if (Receiver.m_Kind != WatchKind::ListForCore)
+      m_EntryLastSeenAt[Receiver.m_Vm] = m_Timers.now();
   }
+  const CoreReport Report = makeReport();
+  const auto EncodedReport =
+      std::make_shared<const std::string>(encode(WatchMessage(Report)));
+  for (const std::uint64_t Id : Ids)
+    sendReport(Id, Report, EncodedReport);
 }
 
 std::uint32_t CoreNode::recentEntryCount() {
--- a/src/ragwortdrift/fleet/core_node.cpp
+++ b/src/ragwortdrift/fleet/core_node.cpp
@@ -114,6 +114,7 @@
     boost::asio::post(m_Io, std::move(Task));
   };
   m_State = {};
+  m_StateUpdates.clear();
   m_CanServeState = false;
   m_Log = std::make_unique<ReplicatedLog>(
       std::move(Options), PosixFiles(m_Settings.m_Folder->string()), m_Timers,
@@ -178,8 +179,10 @@
     if (m_AppliedOutcomes.size() > MaxPendingOutcomes)
       m_AppliedOutcomes.erase(m_AppliedOutcomes.begin());
   }
-  if (Outcome == RoutingCommandOutcome::Accepted)
-    scheduleReports();
+  if (Outcome != RoutingCommandOutcome::Accepted)
+    return;
+  m_StateUpdates.record(m_State);
+  scheduleReports();
 }
 
 void CoreNode::onSnapshotRestored(const std::string &Bytes) {
@@ -191,6 +194,7 @@
     return;
   }
   m_State = valueOf(std::move(Snapshot));
+  m_StateUpdates.record(m_State);
   scheduleReports();
 }
 
@@ -435,6 +439,8 @@
       .set(static_cast<double>(Heap.m_Retained));
   m_Metrics.gauge("ragwortdrift_peer_unsent_bytes")
       .set(static_cast<double>(m_PeerServer.unsentBytes()));
+  m_Metrics.gauge("ragwortdrift_state_update_bytes")
+      .set(static_cast<double>(m_StateUpdates.bytes()));
   m_Metrics.gauge("ragwortdrift_store_usable").set(m_Log ? 1 : 0);
   m_Metrics.gauge("ragwortdrift_config_version")
       .set(static_cast<double>(m_State.m_Config.m_Version));
--- a/src/ragwortdrift/fleet/core_observations.cpp
+++ b/src/ragwortdrift/fleet/core_observations.cpp
@@ -35,13 +35,15 @@
     return;
   CoreReport Report = makeReport();
   Report.m_Estimates = Estimates;
-  const std::string Bytes = encode(Report);
+  const auto Message =
+      std::make_shared<const std::string>(encode(WatchMessage(Report)));
   std::vector<StreamPtr> Responses;
   for (const auto &[Id, Receiver] : m_Watchers)
-    if (Receiver.m_Kind == WatchKind::Content)
+    if (Receiver.m_Kind == WatchKind::Content &&
+        Receiver.m_Stream->unsentBytes() == 0)
       Responses.push_back(Receiver.m_Stream);
   for (const StreamPtr &Response : Responses)
-    Response->send(Bytes);
+    Response->send(Message);
 }
 
 } // namespace ragwortdrift
--- a/src/ragwortdrift/fleet/entry_control.cpp
+++ b/src/ragwortdrift/fleet/entry_control.cpp
@@ -1,6 +1,8 @@
 #include "ragwortdrift/fleet/entry_control.hpp"
 
 #include "ragwortdrift/base/log.hpp"
+#include "ragwortdrift/fleet/list_updates.hpp"
+#include "ragwortdrift/fleet/state_updates.hpp"
 
 #include <algorithm>
 
@@ -107,20 +109,18 @@
     logEvent(LogSeverity::Warning, "core.bad_address", {{"core", Address}});
     return;
   }
-  const WatchRequest Request{Address == m_Source ? WatchKind::Content
-                                                 : WatchKind::VersionsOnly,
-                             m_Revision, m_ListVersion};
   Watch &CoreWatch = m_Watches[Address];
+  const WatchRequest Request{
+      Address == m_Source ? WatchKind::Content : WatchKind::VersionsOnly,
+      std::exchange(CoreWatch.m_NeedsWholeState, false) ? 0 : m_Revision,
+      std::exchange(CoreWatch.m_NeedsWholeList, false) ? ListVersion{}
+                                                       : m_ListVersion};
+  CoreWatch.m_StateUpdate.reset();
+  CoreWatch.m_ListUpdate.reset();
   CoreWatch.m_Call = m_PeerClient.open(
       Target->m_Ip, Target->m_Port, "/watch", encode(Request), WatchDeadline,
       [this, Address](const std::string &Message) {
-        auto DecodeResult = decode<CoreReport>(Message);
-        if (!isOk(DecodeResult)) {
-          logEvent(LogSeverity::Warning, "core.bad_report",
-                   {{"core", Address}});
-          return;
-        }
-        onReport(Address, valueOf(std::move(DecodeResult)));
+        onMessage(Address, Message);
       },
       [this, Address](const Result<Done, PeerError> &EndResult) {
         onWatchEnd(Address, EndResult);
@@ -150,6 +150,64 @@
     }
 }
 
+void EntryControl::onMessage(const std::string &Sender,
+                             const std::string &Message) {
+  auto DecodeResult = decode<WatchMessage>(Message);
+  if (!isOk(DecodeResult)) {
+    logEvent(LogSeverity::Warning, "core.bad_report", {{"core", Sender}});
+    return;
+  }
+  WatchMessage &Decoded = valueOf(DecodeResult);
+  if (auto *Report = std::get_if<CoreReport>(&Decoded))
+    return onReport(Sender, std::move(*Report));
+  const auto Position = m_Watches.find(Sender);
+  if (Position == m_Watches.end())
+    return;
+  if (auto *Update = std::get_if<StateUpdate>(&Decoded))
+    Position->second.m_StateUpdate = std::move(*Update);
+  else
+    Position->second.m_ListUpdate = std::get<ListUpdate>(std::move(Decoded));
+}
+
+void EntryControl::takeUpdates(const std::string &Sender, Watch &CoreWatch) {
+  auto State = std::exchange(CoreWatch.m_StateUpdate, std::nullopt);
+  if (State && State->m_Revision > m_Revision) {
+    const std::uint64_t Revision = State->m_Revision;
+    const auto Applied = applyUpdate(m_Config, std::move(*State));
+    if (isOk(Applied)) {
+      applyState(Sender, valueOf(Applied));
+    } else {
+      logEvent(LogSeverity::Warning, "state.delta_refused",
+               {{"core", Sender},
+                {"revision", Revision},
+                {"held", m_Revision},
+                {"error", errorOf(Applied)}});
+      CoreWatch.m_NeedsWholeState = true;
+    }
+  }
+  auto List = std::exchange(CoreWatch.m_ListUpdate, std::nullopt);
+  if (List && List->m_Version > m_ListVersion) {
+    const ListVersion Version = List->m_Version;
+    const bool IsDelta = List->m_IsDelta;
+    auto Applied = applyUpdate(m_Leafs, std::move(*List));
+    if (Applied) {
+      m_HasList = true;
+      m_ListVersion = Version;
+      m_Leafs = std::move(*Applied);
+      m_Updates.m_Leafs(m_Leafs);
+    } else {
+      logEvent(LogSeverity::Warning, "leaf_list.update_refused",
+               {{"core", Sender}, {"delta", IsDelta}});
+      CoreWatch.m_NeedsWholeList = IsDelta;
+    }
+  }
+  // Opening the watch again closes the one that is delivering this report, so
+  // it is deferred.
+  if (CoreWatch.m_NeedsWholeState || CoreWatch.m_NeedsWholeList)
+    CoreWatch.m_Retry =
+        m_Timers.after(Duration{0}, [this, Sender] { openWatch(Sender); });
+}
+
 void EntryControl::onReport(const std::string &Sender, CoreReport Report) {
   const auto Position = m_Watches.find(Sender);
   if (Position == m_Watches.end())
@@ -160,13 +218,7 @@
   if (!std::exchange(CoreWatch.m_Connected, true))
     logEvent(LogSeverity::Info, "core.connected",
              {{"core", Sender}, {"revision", Report.m_Revision}});
-  if (Report.m_State)
-    applyState(Sender, *Report.m_State);
-  if (Report.m_Leafs && Report.m_ListVersion > m_ListVersion) {
-    m_HasList = true;
-    m_ListVersion = Report.m_ListVersion;
-    m_Updates.m_Leafs(std::move(*Report.m_Leafs));
-  }
+  takeUpdates(Sender, CoreWatch);
   if (Report.m_Estimates)
     m_Updates.m_Estimates(std::move(*Report.m_Estimates));
   if (Report.m_ListAge && Report.m_ListVersion == m_ListVersion)
@@ -244,6 +296,7 @@
         readList();
     });
   m_Revision = State.m_Revision;
+  m_Config = State.m_Config;
   raiseEntryCount(State.m_EntryCount);
   m_Updates.m_DomainsOut(State.m_DomainsOut);
   logEvent(LogSeverity::Info, "state.taken",
