Answer 503 rather than 404 for a route of the held configuration

Callers got 404 for a route that an acknowledged configuration adds, from entry VMs that hold this configuration while the shards that it names are cold.

Cause: a route lookup asked only the configuration in force. A 404 says that no such route exists, which a VM that holds a newer configuration knows to be wrong.

The request is refused with 503 and the rest of the hold as Retry-After. It is not served by the held configuration: a leaf would see the effect of that version while requests for the other routes still follow the older one, and a VM must not return to an older version.

Evidence: before the change dispatcher/answers_503_for_route_of_held_config failed with "The expression (F.m_Response->result_int()) == (503U) is false", its log line says status=404 cause=unknown_route version=1. A route that neither configuration has is still answered 404 (same test).

--- a/include/ragwortdrift/dispatch/config_switch.hpp
+++ b/include/ragwortdrift/dispatch/config_switch.hpp
@@ -42,6 +42,9 @@
   const Routes &current() const { return m_Current; }
   /// Configuration that is held, null if there is none.
   const Routes &held() const { return m_Held; }
+  /// Time at which the held configuration is applied at the latest. Meaningful
+  /// only while one is held.
+  TimePoint heldUntil() const { return m_HeldUntil; }
 
 private:
   Duration m_MaxDelay;
--- a/include/ragwortdrift/dispatch/dispatcher.hpp
+++ b/include/ragwortdrift/dispatch/dispatcher.hpp
@@ -145,6 +145,10 @@
   /// nothing else would then show that those are reachable.
   void checkOtherDomains(const Route &Target);
   bool canServe(const Route &Target) const;
+  /// Returns the time after which a request without a route in force should be
+  /// repeated, or null if no such route exists.
+  std::optional<Duration> unknownRouteRetryAfter(std::string_view Host,
+                                                 std::string_view Path) const;
 
   TimerService &m_Timers;
   LeafTransport &m_Transport;
--- a/src/ragwortdrift/dispatch/dispatcher.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher.cpp
@@ -228,6 +228,16 @@
     verify(View, "leaf closed an idle connection");
 }
 
+std::optional<Duration>
+Dispatcher::unknownRouteRetryAfter(std::string_view Host,
+                                   std::string_view Path) const {
+  // Requests are not served by the held configuration: those that follow would
+  // return to the older one, which is not allowed.
+  if (holdsRoutes() && m_ConfigSwitch.held()->find(Host, Path))
+    return m_ConfigSwitch.heldUntil() - m_Timers.now();
+  return std::nullopt;
+}
+
 std::shared_ptr<ActiveRequest>
 Dispatcher::dispatch(const HttpRequest &Request, ResponseCallback OnResponse) {
   const auto Refuse = [&](HttpResponse Response, std::string_view Cause) {
@@ -252,14 +262,19 @@
     return Refuse(notExecutedResponse("no routing configuration received yet",
                                       StartRetryAfter),
                   "no_configuration");
-  const auto Host = Request[http::field::host];
-  const auto Target = Request.target();
-  const Route *MatchedRoute = routes()->find({Host.data(), Host.size()},
-                                             {Target.data(), Target.size()});
-  if (!MatchedRoute)
+  const auto HostField = Request[http::field::host];
+  const std::string_view Host{HostField.data(), HostField.size()};
+  const std::string_view Path{Request.target().data(), Request.target().size()};
+  const Route *MatchedRoute = routes()->find(Host, Path);
+  if (!MatchedRoute) {
+    if (const auto RetryAfter = unknownRouteRetryAfter(Host, Path))
+      return Refuse(notExecutedResponse("the route is not in force here yet",
+                                        *RetryAfter),
+                    "unconfirmed_route");
     return Refuse(
         jsonResponse(404, R"({"error":"unknown_route","not_run":true})"),
         "unknown_route");
+  }
   const auto TimeoutField = Request[m_Protocol.m_TimeLeft];
   const auto CallerTimeout =
       TimeoutField.empty()
