Answer 404 only while the configuration is known to be the newest

Callers got 404 for routes that an acknowledged configuration adds, from entry VMs on which this configuration arrived late: behind other states on a full link, or from a core VM that was cut off from the leader or had just restarted.

Cause: an entry VM took the last configuration that it had received for the newest one, however long ago a core VM had last been able to know that.

A core VM now reports whether it is in contact with the leader and has applied all that it knows to be committed. An entry VM's configuration counts as confirmed when such a report names the revision that it has and no core VM has reported a newer one. A VM whose configuration has been unconfirmed for half of the propagation time answers requests without a route with 503 and Retry-After; the other half covers the election timeout of a core VM that has lost its leader and the way of its report. Requests for known routes are served as before, and unknown routes are answered 404 while reports arrive.

Evidence: the tests use new functions, so the previous behaviour was restored in the two functions that decide. dispatcher/answers_404_only_while_config_is_ confirmed then failed with "The expression (StatusOf("/none/")) == (503U) is false", and config_freshness/confirms_only_newest_config in four of seven cases: "source has lost the leader", "source can tell no state", "other core VM has newer state", "newer configuration cannot be read".

Not covered: a report that is itself late, from the only core VM that an entry VM reaches, confirms the configuration at the time of its receipt.

--- a/include/ragwortdrift/consensus/raft_core.hpp
+++ b/include/ragwortdrift/consensus/raft_core.hpp
@@ -110,6 +110,9 @@
   std::optional<LeaderHint> leaderHint() const;
   LogIndex commitIndex() const { return m_CommitIndex; }
   LogIndex appliedIndex() const { return m_AppliedIndex; }
+  /// Returns true if this member has heard from the present leader and has
+  /// applied all entries that it knows to be committed.
+  bool isUpToDate() const;
   LogIndex persistedIndex() const { return m_PersistedIndex; }
   const MemoryLog &log() const { return m_Log; }
   const Membership &membership() const { return m_Memberships.back().second; }
@@ -212,6 +215,9 @@
   std::shared_ptr<const Snapshot> m_Snapshot;
   LogIndex m_CommitIndex = 0;
   LogIndex m_AppliedIndex = 0;
+  /// Highest commit index received from a leader, which may exceed the last
+  /// entry of this member.
+  LogIndex m_LeaderCommitIndex = 0;
   /// Last entry returned by takeEffects(), and last entry known to be on disk.
   LogIndex m_TakenIndex = 0;
   LogIndex m_PersistedIndex = 0;
--- a/include/ragwortdrift/consensus/replicated_log.hpp
+++ b/include/ragwortdrift/consensus/replicated_log.hpp
@@ -70,6 +70,9 @@
   RaftRole m_Role{};
   LogTerm m_Term = 0;
   std::optional<LeaderHint> m_Leader;
+  /// True if a leader is known and all entries known to be committed are
+  /// applied.
+  bool m_IsUpToDate = false;
   LogIndex m_CommitIndex = 0;
   LogIndex m_AppliedIndex = 0;
   LogIndex m_LastIndex = 0;
--- a/include/ragwortdrift/consensus/replicated_log_impl.hpp
+++ b/include/ragwortdrift/consensus/replicated_log_impl.hpp
@@ -114,6 +114,7 @@
   Status.m_Term = m_Core->term();
   if (isUsable())
     Status.m_Leader = m_Core->leaderHint();
+  Status.m_IsUpToDate = isUsable() && m_Core->isUpToDate();
   Status.m_CommitIndex = m_Core->commitIndex();
   Status.m_AppliedIndex = m_Core->appliedIndex();
   Status.m_LastIndex = m_Core->log().lastIndex();
--- a/include/ragwortdrift/dispatch/dispatcher.hpp
+++ b/include/ragwortdrift/dispatch/dispatcher.hpp
@@ -32,6 +32,9 @@
   /// Longest time for which a new configuration is held while its services
   /// cannot serve as well as those in force.
   Duration m_MaxConfigDelay{0};
+  /// Longest time since the configuration was confirmed to be the newest for
+  /// which a route that it lacks is taken not to exist.
+  Duration m_MaxUnconfirmedTime = Duration::max();
   /// One-way delay of a response from this VM to its caller.
   Duration m_CallerDelay = std::chrono::milliseconds(3);
 };
@@ -66,6 +69,10 @@
   /// until its services are ready (see ConfigSwitch). Ignored unless its
   /// version is newer than those before.
   void setRoutes(std::shared_ptr<const RouteTable> Routes);
+  /// Records that the configuration received last was the newest one at a time.
+  void confirmRoutes(TimePoint Time) {
+    m_RoutesConfirmedAt = std::max(m_RoutesConfirmedAt, Time);
+  }
   /// Applies a held configuration that is due. Called periodically while
   /// holdsRoutes().
   void applyHeldRoutes();
@@ -157,6 +164,7 @@
   std::mt19937_64 m_Engine;
   TimePoint m_StartedAt;
   ConfigSwitch m_ConfigSwitch;
+  TimePoint m_RoutesConfirmedAt;
   LeafDirectory m_Leafs;
   struct Budget {
     HedgeBudget m_Tokens;
--- a/include/ragwortdrift/fleet/entry_control.hpp
+++ b/include/ragwortdrift/fleet/entry_control.hpp
@@ -25,6 +25,9 @@
   std::function<void(LeafList)> m_Leafs;
   std::function<void(std::vector<LeafEstimate>)> m_Estimates;
   std::function<void(std::size_t)> m_EntryCount;
+  /// Called with a time at which the configuration received last was the newest
+  /// one.
+  std::function<void(TimePoint)> m_RoutesConfirmed = [](TimePoint) {};
 };
 
 /// The control state of an entry VM. It watches the core VMs, adopts the newest
@@ -76,6 +79,9 @@
   void setSource(const std::string &Address);
   void raiseEntryCount(std::size_t Count);
   void applyState(const std::string &Sender, const RoutingState &State);
+  /// Confirms the local configuration if the report shows that there is no
+  /// newer one.
+  void confirmRoutes(const CoreReport &Report);
   void readListIfStale();
   void readList();
 
@@ -96,7 +102,10 @@
   std::uint64_t m_Revision = 0;
   /// The configuration of m_Revision, the base of the next delta.
   ConfigText m_Config;
+  /// Highest revision that any core VM has reported.
+  std::uint64_t m_NewestRevision = 0;
   std::uint64_t m_ConfigVersion = 0;
+  bool m_ConfigIsUnreadable = false;
   std::size_t m_EntryCount = 1;
   ListVersion m_ListVersion;
   /// The list of m_ListVersion, the base of the next delta; lists that this VM
--- a/include/ragwortdrift/fleet/entry_traffic.hpp
+++ b/include/ragwortdrift/fleet/entry_traffic.hpp
@@ -20,6 +20,8 @@
 
   Result<Done, HttpError> start();
   void setRoutes(std::shared_ptr<const RouteTable> Routes);
+  /// See Dispatcher::confirmRoutes().
+  void confirmRoutes(TimePoint Time) { m_Dispatcher.confirmRoutes(Time); }
   void setDomainsOut(const std::set<FailureDomain> &Domains);
   void setLeafs(const LeafList &List);
   void setEntryCount(std::size_t Count);
--- a/include/ragwortdrift/fleet/messages.hpp
+++ b/include/ragwortdrift/fleet/messages.hpp
@@ -86,6 +86,9 @@
   /// Revision of the routing state that this VM has applied; 0 while it may be
   /// outdated.
   std::uint64_t m_Revision = 0;
+  /// True if the core VM is in contact with the leader and has applied all that
+  /// it knows to be committed.
+  bool m_IsUpToDate = false;
   ListVersion m_ListVersion;
   /// Time since the list was read; absent if no recent list is known.
   std::optional<Duration> m_ListAge;
@@ -94,8 +97,8 @@
   /// Number of entry VMs seen recently.
   std::uint32_t m_EntryCount = 0;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(m_Domain, m_Estimates, m_Revision, m_ListVersion, m_ListAge, m_Cores,
-       m_EntryCount);
+    Ar(m_Domain, m_Estimates, m_Revision, m_IsUpToDate, m_ListVersion,
+       m_ListAge, m_Cores, m_EntryCount);
   }
 };
 
--- a/src/ragwortdrift/consensus/raft_core.cpp
+++ b/src/ragwortdrift/consensus/raft_core.cpp
@@ -167,6 +167,13 @@
   m_Log.append(std::move(Entry));
 }
 
+bool RaftCore::isUpToDate() const {
+  const LogIndex Committed = m_Role == RaftRole::Leader
+                                 ? std::max(m_CommitIndex, m_TermStart)
+                                 : m_LeaderCommitIndex;
+  return m_Leader && Committed > 0 && m_AppliedIndex >= Committed;
+}
+
 std::optional<LeaderHint> RaftCore::leaderHint() const {
   if (!m_Leader)
     return std::nullopt;
--- a/src/ragwortdrift/consensus/raft_replication.cpp
+++ b/src/ragwortdrift/consensus/raft_replication.cpp
@@ -17,6 +17,7 @@
   if (m_Role != RaftRole::Follower || m_Leader != Msg.m_From)
     becomeFollower(Msg.m_Term, Msg.m_From);
   m_ElectionElapsed = 0;
+  m_LeaderCommitIndex = std::max(m_LeaderCommitIndex, Body.m_CommitIndex);
   std::optional<LogTerm> LocalTerm = m_Log.termAt(Body.m_PrevIndex);
   bool LogMatches =
       Body.m_PrevIndex < m_CommitIndex || LocalTerm == Body.m_PrevTerm;
--- a/src/ragwortdrift/dispatch/dispatcher.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher.cpp
@@ -25,8 +25,8 @@
 /// covers retries that reach a leaf in a later window than the requests that
 /// earned them.
 constexpr double EarnedRatioShare = 0.95;
-/// Retry-After of refusals. Overload and shards without leafs are short-lived;
-/// a VM that starts needs longer.
+/// Retry-After of refusals. Overload, shards without leafs and an unconfirmed
+/// configuration are short-lived; a VM that starts needs longer.
 constexpr std::chrono::milliseconds BusyRetryAfter{100};
 constexpr std::chrono::milliseconds StartRetryAfter{500};
 
@@ -235,6 +235,8 @@
   // return to the older one, which is not allowed.
   if (holdsRoutes() && m_ConfigSwitch.held()->find(Host, Path))
     return m_ConfigSwitch.heldUntil() - m_Timers.now();
+  if (m_Timers.now() - m_RoutesConfirmedAt > m_Options.m_MaxUnconfirmedTime)
+    return BusyRetryAfter;
   return std::nullopt;
 }
 
@@ -268,8 +270,8 @@
   const Route *MatchedRoute = routes()->find(Host, Path);
   if (!MatchedRoute) {
     if (const auto RetryAfter = unknownRouteRetryAfter(Host, Path))
-      return Refuse(notExecutedResponse("the route is not in force here yet",
-                                        *RetryAfter),
+      return Refuse(notExecutedResponse(
+                        "the route may not be in force here yet", *RetryAfter),
                     "unconfirmed_route");
     return Refuse(
         jsonResponse(404, R"({"error":"unknown_route","not_run":true})"),
--- a/src/ragwortdrift/dispatch/unknown_route_test.cpp
+++ b/src/ragwortdrift/dispatch/unknown_route_test.cpp
@@ -28,3 +28,28 @@
   F.advanceTime(1500ms);
   cr_assert(F.sendRequest("/added/"));
 }
+
+// Guards against a 404 for a route that a newer version may have added, from a
+// VM that cannot know, and against a 503 for a route that does not exist.
+Test(dispatcher, answers_404_only_while_config_is_confirmed) {
+  DispatchOptions Options = DispatchFixture::defaultOptions();
+  Options.m_MaxUnconfirmedTime = 1500ms;
+  DispatchFixture F(1, Options);
+  const auto StatusOf = [&](const char *Path) {
+    F.sendRequest(Path);
+    return F.m_Response ? F.m_Response->result_int() : 0;
+  };
+  F.advanceTime(10s);
+  cr_assert_eq(StatusOf("/none/"), 503U);
+  cr_assert_not((*F.m_Response)["Retry-After"].empty());
+  F.m_Dispatcher.confirmRoutes(F.m_Timers.now());
+  F.advanceTime(1500ms);
+  cr_assert_eq(StatusOf("/none/"), 404U);
+  // An earlier confirmation that arrives late changes nothing.
+  F.m_Dispatcher.confirmRoutes(F.m_Timers.now() - 3s);
+  cr_assert_eq(StatusOf("/none/"), 404U);
+  F.advanceTime(1ms);
+  cr_assert_eq(StatusOf("/none/"), 503U);
+  // Known routes are served all the while.
+  cr_assert_eq(StatusOf("/r/"), 0U);
+}
--- /dev/null
+++ b/src/ragwortdrift/fleet/config_freshness_test.cpp
@@ -0,0 +1,158 @@
+#include "ragwortdrift/fleet/entry_control.hpp"
+#include "ragwortdrift/net/peer_server.hpp"
+#include "ragwortdrift/testing/loopback.hpp"
+#include "ragwortdrift/testing/table.hpp"
+
+using namespace ragwortdrift;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+/// A core VM whose reports the test supplies.
+struct FakeCore {
+  FakeCore(asio::io_context &Io, TimerService &Timers, Endpoint Address)
+      : m_Address(std::move(Address)),
+        m_Server(Io, Timers, {}, VmId{formatEndpoint(m_Address)}) {
+    m_Server.handle("/watch", [this](const PeerRequest &Request,
+                                     std::shared_ptr<ResponseStream> Stream) {
+      const auto Watch = decode<WatchRequest>(Request.m_Body);
+      m_Kind = valueOf(Watch).m_Kind;
+      m_Stream = std::move(Stream);
+      report();
+    });
+    cr_assert(isOk(m_Server.listen(m_Address.m_Ip, m_Address.m_Port)));
+  }
+  /// Sends the current report, with the state if the watcher requested it.
+  void report() {
+    CoreReport Report = m_Report;
+    if (m_Kind == WatchKind::Content && m_SendsState) {
+      Report.m_State.emplace();
+      Report.m_State->m_Revision = Report.m_Revision;
+      Report.m_State->m_Config = {Report.m_Revision,
+                                  std::to_string(Report.m_Revision)};
+    }
+    if (m_Stream)
+      m_Stream->send(encode(Report));
+  }
+
+  Endpoint m_Address;
+  PeerServer m_Server;
+  WatchKind m_Kind{};
+  std::shared_ptr<ResponseStream> m_Stream;
+  CoreReport m_Report;
+  bool m_SendsState = true;
+};
+
+/// The control state of an entry VM that watches two fake core VMs. The text of
+/// a configuration is its version; version 9 cannot be read.
+struct FreshnessFixture {
+  FreshnessFixture() : m_Driver(m_Io, m_Timers) {
+    m_Driver.start();
+    FleetSettings Settings;
+    Settings.m_Vm = VmId{"entry"};
+    Settings.m_ConfigPropagation = 3s;
+    Settings.m_LeafListRate = 1000;
+    Settings.m_LeafList = testing::freeEndpoint(m_Io);
+    for (auto &Core : m_Cores) {
+      Core = std::make_unique<FakeCore>(m_Io, m_Timers,
+                                        testing::freeEndpoint(m_Io));
+      Core->m_Report.m_Revision = 1;
+      Core->m_Report.m_IsUpToDate = true;
+      Settings.m_Cores.push_back(Core->m_Address);
+    }
+    EntryUpdates Updates;
+    Updates.m_Routes = [this](const std::shared_ptr<const RouteTable> &Routes) {
+      m_Version = Routes->config().m_Version;
+    };
+    Updates.m_DomainsOut = [](const std::set<FailureDomain> &) {};
+    Updates.m_Leafs = [](const LeafList &) {};
+    Updates.m_Estimates = [](const std::vector<LeafEstimate> &) {};
+    Updates.m_EntryCount = [](std::size_t) {};
+    Updates.m_RoutesConfirmed = [this](TimePoint Time) {
+      m_ConfirmedAt = Time;
+    };
+    m_Entry = std::make_unique<EntryControl>(
+        m_Io, Settings, LeafListFormat{},
+        [](std::string_view Text)
+            -> Result<RouteConfig, std::vector<ConfigError>> {
+          if (Text == "9")
+            return std::vector<ConfigError>{{}};
+          RouteConfig Config;
+          Config.m_Version = std::stoull(std::string(Text));
+          return Config;
+        },
+        std::move(Updates));
+    m_Entry->start();
+    cr_assert(runUntil([&] {
+      return m_Version == 1 && m_Cores[0]->m_Stream && m_Cores[1]->m_Stream;
+    }));
+    run(50ms);
+  }
+
+  template <class Condition>
+  bool runUntil(Condition IsMet, Duration Limit = 3s) {
+    const auto Deadline = std::chrono::steady_clock::now() + Limit;
+    while (!IsMet()) {
+      if (std::chrono::steady_clock::now() >= Deadline)
+        return false;
+      m_Io.run_one_for(5ms);
+    }
+    return true;
+  }
+  void run(Duration Time) {
+    runUntil([] { return false; }, Time);
+  }
+  /// Returns the core VM that the entry VM requests the state from, or the
+  /// other one.
+  FakeCore &core(bool IsSource) {
+    return *m_Cores[(m_Cores[0]->m_Kind == WatchKind::Content) == IsSource ? 0
+                                                                           : 1];
+  }
+
+  asio::io_context m_Io;
+  TimerService m_Timers;
+  AsioTimerDriver m_Driver;
+  std::array<std::unique_ptr<FakeCore>, 2> m_Cores;
+  std::uint64_t m_Version = 0;
+  TimePoint m_ConfirmedAt;
+  std::unique_ptr<EntryControl> m_Entry;
+};
+
+struct ConfirmCase {
+  const char *m_Name;
+  std::uint64_t m_SourceRevision;
+  bool m_SourceIsUpToDate;
+  std::uint64_t m_OtherRevision;
+  bool m_IsConfirmed;
+};
+const ConfirmCase ConfirmCases[] = {
+    {"both agree", 1, true, 1, true},
+    {"other core VM can tell no state", 1, true, 0, true},
+    {"source has newer state", 2, true, 1, true},
+    {"source has lost the leader", 1, false, 1, false},
+    {"source can tell no state", 0, false, 1, false},
+    {"other core VM has newer state", 1, true, 2, false},
+    {"newer configuration cannot be read", 9, true, 1, false},
+};
+
+} // namespace
+
+// Guards against an entry VM that takes its configuration for the newest one
+// although no core VM can know, or one knows better.
+TABLE_TEST(config_freshness, confirms_only_newest_config, ConfirmCases) {
+  FreshnessFixture F;
+  cr_assert(F.m_ConfirmedAt > TimePoint{});
+  F.core(false).m_SendsState = false;
+  F.core(false).m_Report.m_Revision = Row.m_OtherRevision;
+  F.core(false).m_Report.m_IsUpToDate = false;
+  F.core(false).report();
+  F.run(50ms);
+  F.m_ConfirmedAt = {};
+  F.core(true).m_Report.m_Revision = Row.m_SourceRevision;
+  F.core(true).m_Report.m_IsUpToDate = Row.m_SourceIsUpToDate;
+  F.core(true).report();
+  F.run(50ms);
+  cr_assert_eq(F.m_ConfirmedAt > TimePoint{}, Row.m_IsConfirmed, "%s",
+               Row.m_Name);
+}
--- a/src/ragwortdrift/fleet/core_membership.cpp
+++ b/src/ragwortdrift/fleet/core_membership.cpp
@@ -211,7 +211,10 @@
 CoreReport CoreNode::makeReport() {
   CoreReport Report;
   Report.m_Domain = m_Settings.m_Domain;
-  Report.m_Revision = canServeState() ? m_State.m_Revision : 0;
+  if (canServeState()) {
+    Report.m_Revision = m_State.m_Revision;
+    Report.m_IsUpToDate = m_Log && m_Log->status().m_IsUpToDate;
+  }
   if (isListFresh() && m_ListVersion != ListVersion{}) {
     Report.m_ListVersion = m_ListVersion;
     Report.m_ListAge = m_Timers.now() - *m_ListReadAt;
--- a/src/ragwortdrift/fleet/entry_control.cpp
+++ b/src/ragwortdrift/fleet/entry_control.cpp
@@ -218,7 +218,9 @@
   if (!std::exchange(CoreWatch.m_Connected, true))
     logEvent(LogSeverity::Info, "core.connected",
              {{"core", Sender}, {"revision", Report.m_Revision}});
+  m_NewestRevision = std::max(m_NewestRevision, Report.m_Revision);
   takeUpdates(Sender, CoreWatch);
+  confirmRoutes(Report);
   if (Report.m_Estimates)
     m_Updates.m_Estimates(std::move(*Report.m_Estimates));
   if (Report.m_ListAge && Report.m_ListVersion == m_ListVersion)
@@ -307,7 +309,8 @@
   if (State.m_Config.m_Version <= m_ConfigVersion)
     return;
   auto Config = m_ConfigReader(State.m_Config.m_Text);
-  if (!isOk(Config)) {
+  m_ConfigIsUnreadable = !isOk(Config);
+  if (m_ConfigIsUnreadable) {
     logEvent(LogSeverity::Error, "config.unreadable",
              {{"version", State.m_Config.m_Version},
               {"fault", describe(errorOf(Config).front())}});
@@ -318,6 +321,14 @@
       std::make_shared<const RouteTable>(valueOf(std::move(Config))));
 }
 
+void EntryControl::confirmRoutes(const CoreReport &Report) {
+  // A core VM whose messages from the leader are late seems up to date, but
+  // others then report newer revisions.
+  if (Report.m_IsUpToDate && Report.m_Revision == m_Revision &&
+      m_NewestRevision == m_Revision && !m_ConfigIsUnreadable)
+    m_Updates.m_RoutesConfirmed(m_Timers.now());
+}
+
 void EntryControl::readListIfStale() {
   const TimePoint Now = m_Timers.now();
   const double CallCount =
--- a/src/ragwortdrift/fleet/entry_traffic.cpp
+++ b/src/ragwortdrift/fleet/entry_traffic.cpp
@@ -38,6 +38,11 @@
 /// Share of the propagation time of a configuration for which an entry VM may
 /// hold it. The rest covers the time from its acceptance until it is received.
 constexpr double HeldConfigShare = 0.65;
+/// Share of the propagation time of a configuration for which it may be
+/// unconfirmed before an entry VM no longer relies on it to be complete. The
+/// rest covers the election timeout of a core VM that has lost its leader and
+/// the time that its report takes.
+constexpr double UnconfirmedConfigShare = 0.5;
 
 HttpLimits makeHttpLimits(const CallerLimits &Caller) {
   using std::chrono::ceil;
@@ -58,9 +63,13 @@
   Options.m_RetryRatio = Settings.m_RetryRatio;
   Options.m_RetrySlack = Settings.m_RetrySlack;
   Options.m_RetryWindow = Settings.m_RetryWindow;
-  Options.m_MaxConfigDelay = Duration(static_cast<Duration::rep>(
-      HeldConfigShare *
-      static_cast<double>(Settings.m_ConfigPropagation.count())));
+  const auto ShareOfPropagation = [&](double Share) {
+    return Duration(static_cast<Duration::rep>(
+        Share * static_cast<double>(Settings.m_ConfigPropagation.count())));
+  };
+  Options.m_MaxConfigDelay = ShareOfPropagation(HeldConfigShare);
+  if (Settings.m_ConfigPropagation > Duration{0})
+    Options.m_MaxUnconfirmedTime = ShareOfPropagation(UnconfirmedConfigShare);
   return Options;
 }
 
