Measure the hold of a configuration from its acceptance

Callers got 404 for routes that a configuration adds later than the propagation time after its acknowledgement, and were served by routes that it drops, from entry VMs that received it late while some of its shards were cold.

Cause: ConfigSwitch holds a configuration for 0.65 of the propagation time from its receipt. A configuration that takes more than the other 0.35, as on a full link, was still held when it had to be in force. A later configuration that arrived while another was held also inherited the limit of the first receipt, however old it was itself.

A core VM now reports the age of the revision that it has applied. An entry VM takes the earliest acceptance that any of its core VMs reports for a revision that it does not have, also from those that report versions only, and the hold counts from there. A core VM that applied the revision before a restart or while catching up knows no age; if none knows, the configuration is not held.

Evidence: with the time of receipt in place of the acceptance, config_freshness/measures_age_from_acceptance failed in four of six cases ("arrives late", "source applied it late", "other core VM applied it late", "both have restarted") and config_switch/applies_overdue_config_at_once with "The expression Switch.apply(Now, IsReady) is false".

--- a/include/ragwortdrift/dispatch/config_switch.hpp
+++ b/include/ragwortdrift/dispatch/config_switch.hpp
@@ -22,18 +22,18 @@
 /// partitioned anew, a configuration may name shards whose leafs are still
 /// cold, while those of the previous shards serve. The change then waits until
 /// the new shards serve as well, for a limited time after the configuration was
-/// received. A configuration is held or applied as a whole.
+/// accepted. A configuration is held or applied as a whole.
 class ConfigSwitch {
 public:
   using Routes = std::shared_ptr<const RouteTable>;
 
-  /// MaxDelay is the longest time from the receipt of a configuration until it
-  /// is in force.
+  /// MaxDelay is the longest time from the acceptance of a configuration until
+  /// it is in force.
   explicit ConfigSwitch(Duration MaxDelay) : m_MaxDelay(MaxDelay) {}
 
-  /// Receives a configuration. Ignored unless its version is newer than those
-  /// received before.
-  void receive(Routes Next, TimePoint Now);
+  /// Receives a configuration that had been accepted by a given time. Ignored
+  /// unless its version is newer than those received before.
+  void receive(Routes Next, TimePoint AcceptedAt);
   /// Applies the received configuration if it is due. Returns true if the
   /// configuration in force has changed.
   bool apply(TimePoint Now, const ServiceReadyQuery &IsReady);
@@ -50,8 +50,8 @@
   Duration m_MaxDelay;
   Routes m_Current;
   Routes m_Held;
-  /// Time at which the oldest configuration received since m_Current must have
-  /// been applied.
+  /// Time at which the first of the configurations accepted since m_Current
+  /// must have been applied.
   TimePoint m_HeldUntil;
 };
 
--- a/include/ragwortdrift/dispatch/dispatcher.hpp
+++ b/include/ragwortdrift/dispatch/dispatcher.hpp
@@ -29,8 +29,8 @@
   /// The body of a search counts once for each shard, since each attempt has a
   /// copy.
   std::size_t m_MaxInFlightBytes = std::size_t{16} * 1024 * 1024;
-  /// Longest time for which a new configuration is held while its services
-  /// cannot serve as well as those in force.
+  /// Longest time after its acceptance for which a new configuration is held
+  /// while its services cannot serve as well as those in force.
   Duration m_MaxConfigDelay{0};
   /// Longest time since the configuration was confirmed to be the newest for
   /// which a route that it lacks is taken not to exist.
@@ -67,8 +67,10 @@
 
   /// Applies a configuration to requests that arrive from now on, or holds it
   /// until its services are ready (see ConfigSwitch). Ignored unless its
-  /// version is newer than those before.
-  void setRoutes(std::shared_ptr<const RouteTable> Routes);
+  /// version is newer than those before. AcceptedAt is a time by which it had
+  /// been accepted, now by default.
+  void setRoutes(std::shared_ptr<const RouteTable> Routes,
+                 std::optional<TimePoint> AcceptedAt = std::nullopt);
   /// Records that the configuration received last was the newest one at a time.
   void confirmRoutes(TimePoint Time) {
     m_RoutesConfirmedAt = std::max(m_RoutesConfirmedAt, Time);
--- a/include/ragwortdrift/fleet/core_node.hpp
+++ b/include/ragwortdrift/fleet/core_node.hpp
@@ -144,6 +144,8 @@
   std::unique_ptr<ReplicatedLog> m_Log;
   RoutingState m_State;
   StateUpdates m_StateUpdates;
+  /// Time at which m_State was applied; absent if it was catching up.
+  std::optional<TimePoint> m_StateAppliedAt;
   std::map<LogIndex, RoutingCommandOutcome> m_AppliedOutcomes;
   std::map<VmId, TimePoint> m_PeerLastContactAt;
   std::set<std::string> m_OtherCoreAddresses;
--- a/include/ragwortdrift/fleet/entry_control.hpp
+++ b/include/ragwortdrift/fleet/entry_control.hpp
@@ -20,7 +20,8 @@
 /// Callbacks by which the control state of an entry VM updates its traffic
 /// side. Called on the control thread.
 struct EntryUpdates {
-  std::function<void(std::shared_ptr<const RouteTable>)> m_Routes;
+  /// Called with a configuration and a time by which it had been accepted.
+  std::function<void(std::shared_ptr<const RouteTable>, TimePoint)> m_Routes;
   std::function<void(std::set<FailureDomain>)> m_DomainsOut;
   std::function<void(LeafList)> m_Leafs;
   std::function<void(std::vector<LeafEstimate>)> m_Estimates;
@@ -79,6 +80,11 @@
   void setSource(const std::string &Address);
   void raiseEntryCount(std::size_t Count);
   void applyState(const std::string &Sender, const RoutingState &State);
+  /// Records when a revision that was not received yet had been accepted.
+  void recordNewerRevision(const CoreReport &Report);
+  /// Returns a time by which a revision after the local one, up to a given one,
+  /// had been accepted.
+  TimePoint acceptanceTime(std::uint64_t Revision) const;
   /// Confirms the local configuration if the report shows that there is no
   /// newer one.
   void confirmRoutes(const CoreReport &Report);
@@ -102,6 +108,9 @@
   std::uint64_t m_Revision = 0;
   /// The configuration of m_Revision, the base of the next delta.
   ConfigText m_Config;
+  /// Times by which revisions after m_Revision had been accepted, as far as
+  /// core VMs know them.
+  std::map<std::uint64_t, TimePoint> m_AcceptedAt;
   /// Highest revision that any core VM has reported.
   std::uint64_t m_NewestRevision = 0;
   std::uint64_t m_ConfigVersion = 0;
--- a/include/ragwortdrift/fleet/entry_traffic.hpp
+++ b/include/ragwortdrift/fleet/entry_traffic.hpp
@@ -19,7 +19,9 @@
   EntryTraffic &operator=(const EntryTraffic &) = delete;
 
   Result<Done, HttpError> start();
-  void setRoutes(std::shared_ptr<const RouteTable> Routes);
+  /// See Dispatcher::setRoutes().
+  void setRoutes(std::shared_ptr<const RouteTable> Routes,
+                 TimePoint AcceptedAt);
   /// See Dispatcher::confirmRoutes().
   void confirmRoutes(TimePoint Time) { m_Dispatcher.confirmRoutes(Time); }
   void setDomainsOut(const std::set<FailureDomain> &Domains);
--- a/include/ragwortdrift/fleet/messages.hpp
+++ b/include/ragwortdrift/fleet/messages.hpp
@@ -89,6 +89,9 @@
   /// True if the core VM is in contact with the leader and has applied all that
   /// it knows to be committed.
   bool m_IsUpToDate = false;
+  /// Time since the core VM applied this revision; absent if it had applied it
+  /// before a restart or while it was catching up.
+  std::optional<Duration> m_RevisionAge;
   ListVersion m_ListVersion;
   /// Time since the list was read; absent if no recent list is known.
   std::optional<Duration> m_ListAge;
@@ -97,8 +100,8 @@
   /// Number of entry VMs seen recently.
   std::uint32_t m_EntryCount = 0;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(m_Domain, m_Estimates, m_Revision, m_IsUpToDate, m_ListVersion,
-       m_ListAge, m_Cores, m_EntryCount);
+    Ar(m_Domain, m_Estimates, m_Revision, m_IsUpToDate, m_RevisionAge,
+       m_ListVersion, m_ListAge, m_Cores, m_EntryCount);
   }
 };
 
--- a/src/ragwortdrift/dispatch/config_switch.cpp
+++ b/src/ragwortdrift/dispatch/config_switch.cpp
@@ -31,12 +31,12 @@
   });
 }
 
-void ConfigSwitch::receive(Routes Next, TimePoint Now) {
+void ConfigSwitch::receive(Routes Next, TimePoint AcceptedAt) {
   const Routes &Newest = m_Held ? m_Held : m_Current;
   if (Newest && Next->config().m_Version <= Newest->config().m_Version)
     return;
-  if (!m_Held)
-    m_HeldUntil = Now + m_MaxDelay;
+  const TimePoint Until = AcceptedAt + m_MaxDelay;
+  m_HeldUntil = m_Held ? std::min(m_HeldUntil, Until) : Until;
   m_Held = std::move(Next);
 }
 
--- a/src/ragwortdrift/dispatch/config_switch_test.cpp
+++ b/src/ragwortdrift/dispatch/config_switch_test.cpp
@@ -165,3 +165,17 @@
   Switch.receive(routes(5, {searchRoute({"a"})}), TimePoint{});
   cr_assert_not(Switch.apply(TimePoint{} + 2 * MaxDelay, IsReady));
 }
+
+// Guards against a version whose time limit is extended by a later receipt.
+Test(config_switch, applies_overdue_config_at_once) {
+  ConfigSwitch Switch(MaxDelay);
+  const ServiceReadyQuery IsReady = readyServices({"a"});
+  Switch.receive(routes(1, {searchRoute({"a"})}), TimePoint{});
+  cr_assert(Switch.apply(TimePoint{}, IsReady));
+  const TimePoint Now = TimePoint{} + 10s;
+  Switch.receive(routes(2, {searchRoute({"b"})}), Now);
+  cr_assert_not(Switch.apply(Now, IsReady));
+  Switch.receive(routes(3, {searchRoute({"c"})}), Now - MaxDelay);
+  cr_assert(Switch.apply(Now, IsReady));
+  cr_assert_eq(Switch.current()->config().m_Version, 3U);
+}
--- a/src/ragwortdrift/dispatch/dispatcher.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher.cpp
@@ -58,8 +58,10 @@
 
 Dispatcher::~Dispatcher() = default;
 
-void Dispatcher::setRoutes(std::shared_ptr<const RouteTable> Routes) {
-  m_ConfigSwitch.receive(std::move(Routes), m_Timers.now());
+void Dispatcher::setRoutes(std::shared_ptr<const RouteTable> Routes,
+                           std::optional<TimePoint> AcceptedAt) {
+  m_ConfigSwitch.receive(std::move(Routes),
+                         AcceptedAt.value_or(m_Timers.now()));
   applyHeldRoutes();
   if (holdsRoutes()) {
     logEvent(LogSeverity::Info, "routes.held",
--- a/src/ragwortdrift/fleet/config_freshness_test.cpp
+++ b/src/ragwortdrift/fleet/config_freshness_test.cpp
@@ -25,15 +25,13 @@
   }
   /// Sends the current report, with the state if the watcher requested it.
   void report() {
-    CoreReport Report = m_Report;
-    if (m_Kind == WatchKind::Content && m_SendsState) {
-      Report.m_State.emplace();
-      Report.m_State->m_Revision = Report.m_Revision;
-      Report.m_State->m_Config = {Report.m_Revision,
-                                  std::to_string(Report.m_Revision)};
-    }
-    if (m_Stream)
-      m_Stream->send(encode(Report));
+    if (!m_Stream)
+      return;
+    const std::uint64_t Revision = m_Report.m_Revision;
+    if (m_Kind == WatchKind::Content && m_SendsState)
+      m_Stream->send(encode(WatchMessage(
+          StateUpdate{Revision, {}, 0, Revision, std::to_string(Revision)})));
+    m_Stream->send(encode(WatchMessage(m_Report)));
   }
 
   Endpoint m_Address;
@@ -62,8 +60,10 @@
       Settings.m_Cores.push_back(Core->m_Address);
     }
     EntryUpdates Updates;
-    Updates.m_Routes = [this](const std::shared_ptr<const RouteTable> &Routes) {
+    Updates.m_Routes = [this](const std::shared_ptr<const RouteTable> &Routes,
+                              TimePoint AcceptedAt) {
       m_Version = Routes->config().m_Version;
+      m_Age = m_Timers.now() - AcceptedAt;
     };
     Updates.m_DomainsOut = [](const std::set<FailureDomain> &) {};
     Updates.m_Leafs = [](const LeafList &) {};
@@ -115,6 +115,8 @@
   AsioTimerDriver m_Driver;
   std::array<std::unique_ptr<FakeCore>, 2> m_Cores;
   std::uint64_t m_Version = 0;
+  /// Age of the configuration when it was received.
+  Duration m_Age{0};
   TimePoint m_ConfirmedAt;
   std::unique_ptr<EntryControl> m_Entry;
 };
@@ -136,8 +138,47 @@
     {"newer configuration cannot be read", 9, true, 1, false},
 };
 
+struct AgeCase {
+  const char *m_Name;
+  std::optional<Duration> m_OtherAge;
+  std::optional<Duration> m_SourceAge;
+  /// The state arrives this much later than the report of the other core VM.
+  Duration m_Delay;
+  Duration m_MinAge;
+};
+const AgeCase AgeCases[] = {
+    {"arrives at once", 0ms, 0ms, 0ms, 0ms},
+    {"arrives late", 0ms, 0ms, 300ms, 300ms},
+    {"source applied it late", 700ms, 0ms, 0ms, 700ms},
+    {"other core VM applied it late", 0ms, 700ms, 0ms, 700ms},
+    {"other core VM has restarted", std::nullopt, 0ms, 0ms, 0ms},
+    {"both have restarted", std::nullopt, std::nullopt, 0ms, 3000ms},
+};
+
 } // namespace
 
+// Guards against a configuration that is held beyond its propagation time
+// because it was received late.
+TABLE_TEST(config_freshness, measures_age_from_acceptance, AgeCases) {
+  FreshnessFixture F;
+  // The entry VM may change its source while it waits.
+  FakeCore &Source = F.core(true), &Other = F.core(false);
+  Source.m_SendsState = Other.m_SendsState = false;
+  Other.m_Report.m_Revision = 2;
+  Other.m_Report.m_RevisionAge = Row.m_OtherAge;
+  Other.report();
+  F.run(50ms + Row.m_Delay);
+  Source.m_SendsState = Other.m_SendsState = true;
+  Source.m_Report.m_Revision = 2;
+  Source.m_Report.m_RevisionAge = Row.m_SourceAge;
+  Source.report();
+  Other.report();
+  cr_assert(F.runUntil([&] { return F.m_Version == 2; }));
+  cr_assert_geq(F.m_Age.count(), Row.m_MinAge.count(), "%s", Row.m_Name);
+  cr_assert_leq(F.m_Age.count(), (Row.m_MinAge + Duration{250ms}).count(), "%s",
+                Row.m_Name);
+}
+
 // Guards against an entry VM that takes its configuration for the newest one
 // although no core VM can know, or one knows better.
 TABLE_TEST(config_freshness, confirms_only_newest_config, ConfirmCases) {
--- a/src/ragwortdrift/fleet/entry_control.cpp
+++ b/src/ragwortdrift/fleet/entry_control.cpp
@@ -219,6 +219,7 @@
     logEvent(LogSeverity::Info, "core.connected",
              {{"core", Sender}, {"revision", Report.m_Revision}});
   m_NewestRevision = std::max(m_NewestRevision, Report.m_Revision);
+  recordNewerRevision(Report);
   takeUpdates(Sender, CoreWatch);
   confirmRoutes(Report);
   if (Report.m_Estimates)
@@ -297,8 +298,11 @@
       if (!m_HasList)
         readList();
     });
+  const TimePoint AcceptedAt = acceptanceTime(State.m_Revision);
   m_Revision = State.m_Revision;
   m_Config = State.m_Config;
+  m_AcceptedAt.erase(m_AcceptedAt.begin(),
+                     m_AcceptedAt.upper_bound(m_Revision));
   raiseEntryCount(State.m_EntryCount);
   m_Updates.m_DomainsOut(State.m_DomainsOut);
   logEvent(LogSeverity::Info, "state.taken",
@@ -318,7 +322,28 @@
   }
   m_ConfigVersion = State.m_Config.m_Version;
   m_Updates.m_Routes(
-      std::make_shared<const RouteTable>(valueOf(std::move(Config))));
+      std::make_shared<const RouteTable>(valueOf(std::move(Config))),
+      AcceptedAt);
+}
+
+void EntryControl::recordNewerRevision(const CoreReport &Report) {
+  if (Report.m_Revision <= m_Revision || !Report.m_RevisionAge)
+    return;
+  const TimePoint AcceptedAt = m_Timers.now() - *Report.m_RevisionAge;
+  TimePoint &Earliest =
+      m_AcceptedAt.try_emplace(Report.m_Revision, AcceptedAt).first->second;
+  Earliest = std::min(Earliest, AcceptedAt);
+}
+
+TimePoint EntryControl::acceptanceTime(std::uint64_t Revision) const {
+  // A state whose age is unknown may have had to be in force before.
+  TimePoint Earliest = m_Timers.now();
+  const auto End = m_AcceptedAt.upper_bound(Revision);
+  if (End == m_AcceptedAt.begin())
+    return Earliest - m_Settings.m_ConfigPropagation;
+  for (auto Position = m_AcceptedAt.begin(); Position != End; ++Position)
+    Earliest = std::min(Earliest, Position->second);
+  return Earliest;
 }
 
 void EntryControl::confirmRoutes(const CoreReport &Report) {
--- a/src/ragwortdrift/fleet/entry_traffic.cpp
+++ b/src/ragwortdrift/fleet/entry_traffic.cpp
@@ -36,7 +36,8 @@
 /// Interval between checks whether a held configuration is due.
 constexpr std::chrono::milliseconds HeldConfigCheckInterval{50};
 /// Share of the propagation time of a configuration for which an entry VM may
-/// hold it. The rest covers the time from its acceptance until it is received.
+/// hold it, from its acceptance. The rest covers the time until a core VM has
+/// applied it and has reported its age.
 constexpr double HeldConfigShare = 0.65;
 /// Share of the propagation time of a configuration for which it may be
 /// unconfirmed before an entry VM no longer relies on it to be complete. The
@@ -128,9 +129,10 @@
   return Done{};
 }
 
-void EntryTraffic::setRoutes(std::shared_ptr<const RouteTable> Routes) {
+void EntryTraffic::setRoutes(std::shared_ptr<const RouteTable> Routes,
+                             TimePoint AcceptedAt) {
   m_CallerServer.setLimits(makeHttpLimits(Routes->config().m_Limits));
-  m_Dispatcher.setRoutes(std::move(Routes));
+  m_Dispatcher.setRoutes(std::move(Routes), AcceptedAt);
   updateConnectionLimits();
   preconnect();
   checkHeldRoutes();
--- a/src/ragwortdrift/fleet/fleet_fixture.hpp
+++ b/src/ragwortdrift/fleet/fleet_fixture.hpp
@@ -209,7 +209,8 @@
   }
   EntryUpdates updates() {
     EntryUpdates Updates;
-    Updates.m_Routes = [this](const std::shared_ptr<const RouteTable> &Routes) {
+    Updates.m_Routes = [this](const std::shared_ptr<const RouteTable> &Routes,
+                              TimePoint) {
       m_Versions.push_back(Routes->config().m_Version);
     };
     Updates.m_DomainsOut = [this](std::set<FailureDomain> Domains) {
