Tell no state while a core VM is still catching up

Entry VMs that started, or that lost their other core VMs, took an old state from a core VM that had just restarted, and answered 404 for the routes that were added since.

Cause: a core VM told its state as soon as it knew a leader and had applied all entries that it had. Entries that do not fit into one message of the log, 256 KB, arrive in several; between them the VM had applied all that it had, while the leader had long told a higher commit index.

The state now also has to contain all entries that the leader has reported as committed, and a leader has to have committed an entry of its own term.

--- a/src/ragwortdrift/fleet/core_membership.cpp
+++ b/src/ragwortdrift/fleet/core_membership.cpp
@@ -275,7 +275,7 @@
   if (m_CanServeState || !m_Log)
     return m_CanServeState;
   const ReplicatedLogStatus Status = m_Log->status();
-  m_CanServeState = Status.m_Leader && Status.m_AppliedIndex > 0 &&
+  m_CanServeState = Status.m_IsUpToDate &&
                     Status.m_AppliedIndex == Status.m_LastIndex &&
                     findVoter(Status, VmId{m_Address});
   return m_CanServeState;
--- a/src/ragwortdrift/fleet/fleet_test.cpp
+++ b/src/ragwortdrift/fleet/fleet_test.cpp
@@ -374,3 +374,36 @@
       Fleet.runUntil([&] { return Entry.m_LeafLists.back().size() == 1; }));
   cr_assert_eq(Entry.m_Versions.back(), 1U);
 }
+
+// Guards against a core VM that sends states from before its restart while it
+// still receives the later ones.
+Test(fleet, withholds_state_while_catching_up) {
+  TestFleet Fleet(3);
+  Fleet.startInitialVoters();
+  Fleet.submitUntilDecided(0, TestFleet::config(1));
+  Fleet.m_Nodes[2].reset();
+  // The changes since then do not fit into one message of the log.
+  for (std::uint64_t Version = 2; Version <= 12; ++Version)
+    Fleet.submitUntilDecided(
+        0, TestFleet::config(Version, std::to_string(Version) +
+                                          std::string(300'000, ' ')));
+  TimerService Timers;
+  AsioTimerDriver Driver(Fleet.m_Io, Timers);
+  Driver.start();
+  PeerClient Client(Fleet.m_Io, Timers, {}, VmId{"watcher"});
+  Fleet.start(2, false);
+  std::vector<std::uint64_t> Revisions;
+  const PeerCall Watch = Client.open(
+      Fleet.m_Peers[2].m_Ip, Fleet.m_Peers[2].m_Port, "/watch",
+      encode(WatchRequest{WatchKind::VersionsOnly, 0, {}}), 10s,
+      [&](const std::string &Message) {
+        const std::uint64_t Revision =
+            std::get<CoreReport>(valueOf(decode<WatchMessage>(Message)))
+                .m_Revision;
+        if (Revision > 0)
+          Revisions.push_back(Revision);
+      },
+      [](const Result<Done, PeerError> &) {});
+  cr_assert(Fleet.runUntil([&] { return !Revisions.empty(); }));
+  cr_assert_eq(Revisions.front(), valueOf(Fleet.read(0)).m_Revision);
+}
