Keep one copy of a command that is forwarded to the leader

A forwarded command was kept three times until the leader's reply (the request, the callback and their source), and a read was copied once more to be encoded. Both hold a whole configuration of up to 512 KiB. Found by reading the code; not measured. The tests of fleet pass unchanged.

--- a/include/ragwortdrift/fleet/core_node.hpp
+++ b/include/ragwortdrift/fleet/core_node.hpp
@@ -75,7 +75,7 @@
   void commitCommand(const RoutingCommand &Command, CommandCallback Callback);
   void confirmRead(ReadCallback Callback);
   template <class Reply, class Value>
-  void forwardToLeader(const char *Path, std::string Bytes,
+  void forwardToLeader(const char *Path, SharedMessage Bytes,
                        unsigned AttemptsLeft,
                        std::function<void(Result<Value, CoreError>)> Callback);
   std::string nextForwardTarget();
--- a/src/ragwortdrift/fleet/core_node.cpp
+++ b/src/ragwortdrift/fleet/core_node.cpp
@@ -246,7 +246,7 @@
   m_PeerServer.handle(
       "/read", [this](const PeerRequest &, const StreamPtr &Response) {
         confirmRead([Response](const Result<RoutingState, CoreError> &Outcome) {
-          Response->send(encode(ReadReply(Outcome)));
+          Response->send(encode<ReadReply>(Outcome));
           Response->finish();
         });
       });
@@ -282,8 +282,10 @@
     return;
   }
   forwardToLeader<CommandReply, RoutingCommandOutcome>(
-      "/order", encode(CommandRequest{std::move(Command)}), MaxForwardAttempts,
-      std::move(Callback));
+      "/order",
+      std::make_shared<const std::string>(
+          encode(CommandRequest{std::move(Command)})),
+      MaxForwardAttempts, std::move(Callback));
 }
 
 void CoreNode::commitCommand(const RoutingCommand &Command,
@@ -315,8 +317,9 @@
     confirmRead(std::move(Callback));
     return;
   }
-  forwardToLeader<ReadReply, RoutingState>("/read", {}, MaxForwardAttempts,
-                                           std::move(Callback));
+  forwardToLeader<ReadReply, RoutingState>(
+      "/read", std::make_shared<const std::string>(), MaxForwardAttempts,
+      std::move(Callback));
 }
 
 void CoreNode::confirmRead(ReadCallback Callback) {
@@ -347,7 +350,7 @@
 
 template <class Reply, class Value>
 void CoreNode::forwardToLeader(
-    const char *Path, std::string Bytes, unsigned AttemptsLeft,
+    const char *Path, SharedMessage Bytes, unsigned AttemptsLeft,
     std::function<void(Result<Value, CoreError>)> Callback) {
   const auto Target = parseEndpoint(nextForwardTarget());
   if (!Target || AttemptsLeft == 0) {
@@ -360,7 +363,7 @@
   };
   auto Forwarded = std::make_shared<ForwardState>();
   Forwarded->m_Call = m_PeerClient.open(
-      Target->m_Ip, Target->m_Port, Path, Bytes, ForwardTimeout,
+      Target->m_Ip, Target->m_Port, Path, *Bytes, ForwardTimeout,
       [Forwarded](const std::string &Message) {
         auto DecodeResult = decode<Reply>(Message);
         if (isOk(DecodeResult))
