Send a long leaf list in parts

What callers would see: the target size has 130,000 leafs.

Change: updates of at most 512 KiB with the same version that precede a report belong together; the hash of the list covers them all.

The limit of 16 MiB on unsent bytes of a connection bounds the whole list at about 170,000 leafs.

--- a/include/ragwortdrift/fleet/list_updates.hpp
+++ b/include/ragwortdrift/fleet/list_updates.hpp
@@ -20,10 +20,10 @@
   /// Records that Version of the list follows Former, with these contents.
   void record(ListVersion FormerVersion, const LeafList &Former,
               ListVersion Version, const LeafList &List);
-  /// The message for a watcher that has the list of WatcherVersion. Version and
-  /// List are the ones recorded last.
-  SharedMessage message(ListVersion Version, const LeafList &List,
-                        ListVersion WatcherVersion);
+  /// The messages for a watcher that has the list of WatcherVersion. Version
+  /// and List are the ones recorded last.
+  std::vector<SharedMessage> messages(ListVersion Version, const LeafList &List,
+                                      ListVersion WatcherVersion);
 
 private:
   /// The leafs that were added, changed or removed after a version.
@@ -42,12 +42,15 @@
   std::optional<std::uint64_t> m_Hash;
   /// Messages with the list recorded last, by the version on which they are
   /// based.
-  std::map<ListVersion, SharedMessage> m_Messages;
+  std::map<ListVersion, std::vector<SharedMessage>> m_Messages;
 };
 
 /// A hash of the entries in any order.
 std::uint64_t hashList(const LeafList &List);
 
+/// Adds a received update to the parts of it that were received before.
+void appendUpdate(std::optional<ListUpdate> &Parts, ListUpdate Part);
+
 /// The list that an update yields at a watcher that has the list Base. Changed
 /// entries stay in their place, new ones follow at the end. Absent if the
 /// result has not the announced content, for example since Base is another
--- a/include/ragwortdrift/fleet/messages.hpp
+++ b/include/ragwortdrift/fleet/messages.hpp
@@ -60,7 +60,8 @@
   }
 };
 
-/// The leaf list for a watcher whose list is older.
+/// The leaf list for a watcher whose list is older, or a part of it: updates
+/// with the same version that precede a report belong together.
 struct ListUpdate {
   ListVersion m_Version;
   /// True if the update is relative to the list that the watcher has.
--- a/src/ragwortdrift/fleet/content_updates_test.cpp
+++ b/src/ragwortdrift/fleet/content_updates_test.cpp
@@ -196,8 +196,8 @@
   }
   const ListVersion WatcherVersion =
       Row.m_Watcher == 0 ? ListVersion{} : ListVersion{1, Row.m_Watcher};
-  const auto Update =
-      decodeAs<ListUpdate>(Updates.message(Version, List, WatcherVersion));
+  const auto Update = decodeAs<ListUpdate>(
+      Updates.messages(Version, List, WatcherVersion).at(0));
   cr_assert_eq(Update.m_IsDelta, Row.m_IsDelta, "%s", Row.m_Name);
   cr_assert_eq(Update.m_Changed.size(), Row.m_Changed, "%s", Row.m_Name);
   cr_assert_eq(Update.m_Removed.size(), Row.m_Removed, "%s", Row.m_Name);
@@ -214,10 +214,61 @@
   Updates.record({}, {}, {1, 1}, First);
   Updates.record({1, 1}, First, {1, 2}, Second);
   const auto Update =
-      decodeAs<ListUpdate>(Updates.message({1, 2}, Second, {1, 1}));
+      decodeAs<ListUpdate>(Updates.messages({1, 2}, Second, {1, 1}).at(0));
   cr_assert(Update.m_IsDelta);
   cr_assert(applyUpdate(First, Update).has_value());
   cr_assert_not(applyUpdate(list({{"a", 5}, {"b", 1}}), Update).has_value());
   cr_assert_not(
       applyUpdate(list({{"a", 1}, {"b", 1}, {"c", 1}}), Update).has_value());
 }
+
+// Guards against a list that exceeds the maximum size of a message, which ends
+// the watch each time: the target size is 130,000 leafs.
+Test(content_updates, sends_long_list_in_parts) {
+  LeafList List;
+  for (int I = 0; I < 130'000; ++I) {
+    ListedLeaf &Leaf = List.emplace_back();
+    Leaf.m_Id = LeafId{"leaf-" + std::to_string(I) + std::string(20, 'x')};
+    Leaf.m_Service = ServiceName{"search-shard"};
+    Leaf.m_Address = {"10.200.100.50", 9000};
+    Leaf.m_Domain = FailureDomain{"north-1"};
+  }
+  LeafList Next = List;
+  Next.erase(Next.begin() + 5000, Next.begin() + 5100);
+  Next[70'000].m_State = ListedState::Draining;
+  ListUpdates Updates;
+  Updates.record({}, {}, {1, 1}, List);
+  const auto Receive = [](const auto &Messages) {
+    std::optional<ListUpdate> Parts;
+    std::size_t Bytes = 0;
+    for (const auto &Message : Messages) {
+      cr_assert_leq(Message->size(), MaxPeerMessageBytes);
+      Bytes += Message->size();
+      appendUpdate(Parts, decodeAs<ListUpdate>(Message));
+    }
+    return std::pair(*Parts, Bytes);
+  };
+  const auto [Whole, WholeBytes] = Receive(Updates.messages({1, 1}, List, {}));
+  const auto Received = applyUpdate({}, Whole);
+  cr_assert(Received && *Received == List);
+  // The limit on unsent bytes of a connection.
+  cr_assert_leq(WholeBytes, PeerLimits{}.m_MaxUnsentBytes);
+  Updates.record({1, 1}, List, {1, 2}, Next);
+  const auto [Delta, DeltaBytes] =
+      Receive(Updates.messages({1, 2}, Next, {1, 1}));
+  const auto Applied = applyUpdate(*Received, Delta);
+  cr_assert(Applied && *Applied == Next);
+  cr_assert_leq(DeltaBytes, 8192U, "%zu bytes", DeltaBytes);
+  std::fprintf(stderr, "list of %zu bytes, delta of %zu bytes\n", WholeBytes,
+               DeltaBytes);
+}
+
+// Guards against parts of different updates taken for one.
+Test(content_updates, separates_updates_of_different_versions) {
+  std::optional<ListUpdate> Parts;
+  appendUpdate(Parts, {{1, 1}, false, list({{"a", 1}}), {}, 0});
+  appendUpdate(Parts, {{1, 2}, false, list({{"b", 1}}), {}, 0});
+  appendUpdate(Parts, {{1, 2}, false, list({{"c", 1}}), {}, 0});
+  cr_assert_eq(Parts->m_Changed.size(), 2U);
+  cr_assert_eq(Parts->m_Changed[0].m_Id, LeafId{"b"});
+}
--- a/src/ragwortdrift/fleet/core_leaf_list.cpp
+++ b/src/ragwortdrift/fleet/core_leaf_list.cpp
@@ -114,7 +114,7 @@
     return;
   }
   if (auto *Update = std::get_if<ListUpdate>(&valueOf(DecodeResult)))
-    m_LeaderUpdate = std::move(*Update);
+    appendUpdate(m_LeaderUpdate, std::move(*Update));
   const auto *Report = std::get_if<CoreReport>(&valueOf(DecodeResult));
   if (!Report)
     return;
--- a/src/ragwortdrift/fleet/core_membership.cpp
+++ b/src/ragwortdrift/fleet/core_membership.cpp
@@ -2,6 +2,7 @@
 #include "ragwortdrift/fleet/core_node.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace ragwortdrift {
 
@@ -247,8 +248,9 @@
   }
   if (Receiver.m_Kind != WatchKind::VersionsOnly &&
       Report.m_ListVersion > Receiver.m_SentListVersion) {
-    Messages.push_back(m_ListUpdates.message(m_ListVersion, m_Leafs,
-                                             Receiver.m_SentListVersion));
+    std::ranges::copy(m_ListUpdates.messages(m_ListVersion, m_Leafs,
+                                             Receiver.m_SentListVersion),
+                      std::back_inserter(Messages));
     Receiver.m_SentListVersion = m_ListVersion;
   }
   Messages.push_back(EncodedReport);
--- a/src/ragwortdrift/fleet/entry_control.cpp
+++ b/src/ragwortdrift/fleet/entry_control.cpp
@@ -166,7 +166,8 @@
   if (auto *Update = std::get_if<StateUpdate>(&Decoded))
     Position->second.m_StateUpdate = std::move(*Update);
   else
-    Position->second.m_ListUpdate = std::get<ListUpdate>(std::move(Decoded));
+    appendUpdate(Position->second.m_ListUpdate,
+                 std::get<ListUpdate>(std::move(Decoded)));
 }
 
 void EntryControl::takeUpdates(const std::string &Sender, Watch &CoreWatch) {
--- a/src/ragwortdrift/fleet/list_updates.cpp
+++ b/src/ragwortdrift/fleet/list_updates.cpp
@@ -3,6 +3,7 @@
 #include "ragwortdrift/base/hash.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -12,6 +13,9 @@
 
 /// Lists are read once a second, so this covers a minute.
 constexpr std::size_t MaxRecentChanges = 64;
+/// Half of the maximum size of a message; a list of 130,000 leafs takes about
+/// 13 MB.
+constexpr std::size_t MaxPartBytes = MaxPeerMessageBytes / 2;
 
 /// Ids of the leafs that differ; absent if an id occurs twice, since a delta
 /// cannot express that.
@@ -75,29 +79,47 @@
   return Ids;
 }
 
-ListUpdates::SharedMessage ListUpdates::message(ListVersion Version,
-                                                const LeafList &List,
-                                                ListVersion WatcherVersion) {
+std::vector<ListUpdates::SharedMessage>
+ListUpdates::messages(ListVersion Version, const LeafList &List,
+                      ListVersion WatcherVersion) {
   auto Ids = changedSince(WatcherVersion);
-  SharedMessage &Message = m_Messages[Ids ? WatcherVersion : ListVersion{}];
-  if (Message)
-    return Message;
-  ListUpdate Update;
-  Update.m_Version = Version;
+  std::vector<SharedMessage> &Messages =
+      m_Messages[Ids ? WatcherVersion : ListVersion{}];
+  if (!Messages.empty())
+    return Messages;
   if (!m_Hash)
     m_Hash = hashList(List);
-  Update.m_Hash = *m_Hash;
-  if (Ids) {
-    Update.m_IsDelta = true;
-    for (const ListedLeaf &Leaf : List)
-      if (Ids->erase(Leaf.m_Id) > 0)
-        Update.m_Changed.push_back(Leaf);
-    Update.m_Removed.assign(Ids->begin(), Ids->end());
-  } else {
-    Update.m_Changed = List;
+  ListUpdate Part;
+  Part.m_Version = Version;
+  Part.m_IsDelta = Ids.has_value();
+  Part.m_Hash = *m_Hash;
+  std::size_t PartBytes = 0;
+  const auto EndPart = [&] {
+    Messages.push_back(
+        std::make_shared<const std::string>(encode(WatchMessage(Part))));
+    Part.m_Changed.clear();
+    Part.m_Removed.clear();
+    PartBytes = 0;
+  };
+  const auto Reserve = [&](std::size_t Bytes) {
+    if (PartBytes + Bytes > MaxPartBytes)
+      EndPart();
+    PartBytes += Bytes;
+  };
+  for (const ListedLeaf &Leaf : List) {
+    if (Ids && Ids->erase(Leaf.m_Id) == 0)
+      continue;
+    Reserve(encode(Leaf).size());
+    Part.m_Changed.push_back(Leaf);
   }
-  Message = std::make_shared<const std::string>(encode(WatchMessage(Update)));
-  return Message;
+  // The ids that are left are not in the list.
+  if (Ids)
+    for (const LeafId &Id : *Ids) {
+      Reserve(encode(Id).size());
+      Part.m_Removed.push_back(Id);
+    }
+  EndPart();
+  return Messages;
 }
 
 std::uint64_t hashList(const LeafList &List) {
@@ -107,6 +129,16 @@
   return Hash;
 }
 
+void appendUpdate(std::optional<ListUpdate> &Parts, ListUpdate Part) {
+  if (!Parts || Parts->m_Version != Part.m_Version ||
+      Parts->m_IsDelta != Part.m_IsDelta) {
+    Parts = std::move(Part);
+    return;
+  }
+  std::ranges::move(Part.m_Changed, std::back_inserter(Parts->m_Changed));
+  std::ranges::move(Part.m_Removed, std::back_inserter(Parts->m_Removed));
+}
+
 std::optional<LeafList> applyUpdate(const LeafList &Base, ListUpdate Update) {
   LeafList List;
   if (!Update.m_IsDelta) {
--- a/src/ragwortdrift/fleet/watch_recovery_test.cpp
+++ b/src/ragwortdrift/fleet/watch_recovery_test.cpp
@@ -86,11 +86,11 @@
     ListUpdates Updates;
     Updates.record({}, {}, Base.version(), Base.m_List);
     Updates.record(Base.version(), Base.m_List, version(), m_List);
-    return *Updates.message(version(), m_List, Base.version());
+    return *Updates.messages(version(), m_List, Base.version()).at(0);
   }
   std::string wholeState() const { return *StateUpdates().message(m_State, 0); }
   std::string wholeList() const {
-    return *ListUpdates().message(version(), m_List, {});
+    return *ListUpdates().messages(version(), m_List, {}).at(0);
   }
   ListVersion version() const { return {1, m_State.m_Revision}; }
 
--- a/src/ragwortdrift/fleet/watcher_memory_test.cpp
+++ b/src/ragwortdrift/fleet/watcher_memory_test.cpp
@@ -95,8 +95,8 @@
         40ms);
   }
   const std::size_t Growth = MaxUsed - std::min(MaxUsed, UsedBefore);
-  std::fprintf(stderr, "heap grew by %zu bytes, unsent %.0f\n", Growth,
-               MaxUnsent);
+  std::fprintf(stderr, "heap grew by %zu bytes from %zu, unsent %.0f\n", Growth,
+               UsedBefore, MaxUnsent);
   // The log keeps at most 6 MiB and its writer a copy; recent texts 2 MiB.
   cr_assert_leq(Growth, WatcherCount * MaxBytesPerWatcher + (16U << 20));
 }
