--- a/include/ragwortdrift/fleet/entry_traffic.hpp
+++ b/include/ragwortdrift/fleet/entry_traffic.hpp
@@ -35,8 +35,9 @@
 
   /// Stops gracefully: readiness fails first and responses announce the close
   /// of their connections, then no new connections are accepted. Calls back
-  /// when the last request is answered or the stop time has elapsed.
-  void beginStop(std::function<void()> OnStopped);
+  /// when the last request is answered or the stop time has elapsed, of which
+  /// the given time has passed.
+  void beginStop(Duration Elapsed, std::function<void()> OnStopped);
 
 private:
   void onCallerRequest(const std::shared_ptr<HttpExchange> &Exchange);
--- a/src/ragwortdrift/fleet/entry_traffic.cpp
+++ b/src/ragwortdrift/fleet/entry_traffic.cpp
@@ -238,14 +238,16 @@
   Exchange->respond(std::move(Response));
 }
 
-void EntryTraffic::beginStop(std::function<void()> OnStopped) {
+void EntryTraffic::beginStop(Duration Elapsed,
+                             std::function<void()> OnStopped) {
   if (std::exchange(m_Stopping, true))
     return;
   m_OnStopped = std::move(OnStopped);
-  m_StopStartedAt = m_Timers.now();
+  m_StopStartedAt = m_Timers.now() - Elapsed;
   m_CallerServer.disableKeepAlive();
   m_Periodic.push_back(
-      m_Timers.after(StopAcceptPeriod, [this] { m_CallerServer.beginStop(); }));
+      m_Timers.after(std::max(StopAcceptPeriod - Elapsed, Duration{0}),
+                     [this] { m_CallerServer.beginStop(); }));
   m_Periodic.push_back(
       m_Timers.every(StopCheckInterval, [this] { finishStopIfDrained(); }));
 }
