Refuse requests that cannot end before a planned stop does

Callers lost requests in a planned stop, bookings among them: a request that came late on an open connection was passed on to a leaf, and the process ended before the answer. Now a request whose time-out, its own or that of the route, ends after the exit is refused with 503, not_run and Connection: close, so that the caller may repeat it at another VM.

--- a/include/ragwortdrift/fleet/entry_traffic.hpp
+++ b/include/ragwortdrift/fleet/entry_traffic.hpp
@@ -34,13 +34,17 @@
       std::function<void(std::vector<LeafObservation>)> Callback);
 
   /// Stops gracefully: readiness fails first and responses announce the close
-  /// of their connections, then no new connections are accepted. Calls back
+  /// of their connections, then no new connections are accepted. Requests whose
+  /// time-out ends after the stop are refused as not executed. Calls back
   /// when the last request is answered or the stop time has elapsed, of which
   /// the given time has passed.
   void beginStop(Duration Elapsed, std::function<void()> OnStopped);
 
 private:
   void onCallerRequest(const std::shared_ptr<HttpExchange> &Exchange);
+  /// Returns true if the time-out of a request ends, with its response sent,
+  /// before the process does. Others are refused in a stop.
+  bool endsBeforeExit(const HttpRequest &Request) const;
   void onReadinessRequest(const std::shared_ptr<HttpExchange> &Exchange);
   void onMetricsRequest(const std::shared_ptr<HttpExchange> &Exchange);
   void updateConnectionLimits();
@@ -54,6 +58,8 @@
   std::string m_ReadyPath;
   TimerService m_Timers;
   AsioTimerDriver m_Driver;
+  /// Name of the header field with the time-out of a caller.
+  std::string m_TimeLeftField;
   LeafPool m_Pool;
   Dispatcher m_Dispatcher;
   HttpServer m_CallerServer;
--- a/src/ragwortdrift/fleet/entry_traffic.cpp
+++ b/src/ragwortdrift/fleet/entry_traffic.cpp
@@ -2,6 +2,7 @@
 
 #include "ragwortdrift/base/hash.hpp"
 #include "ragwortdrift/dispatch/active_request.hpp"
+#include "ragwortdrift/dispatch/parse_millis.hpp"
 
 #include <random>
 
@@ -33,6 +34,12 @@
 /// Interval between checks that the last request has ended.
 constexpr std::chrono::milliseconds StopCheckInterval{50};
 
+/// Time for the response to a caller after its deadline: the interval of the
+/// checks and a delay of the same size.
+constexpr std::chrono::milliseconds StopResponseMargin{100};
+/// Retry-After of requests that are refused in a stop. Other VMs serve at once.
+constexpr std::chrono::milliseconds StopRetryAfter{0};
+
 /// Interval between checks whether a held configuration is due.
 constexpr std::chrono::milliseconds HeldConfigCheckInterval{50};
 /// Share of the propagation time of a configuration for which an entry VM may
@@ -79,7 +86,8 @@
 EntryTraffic::EntryTraffic(boost::asio::io_context &Io, FleetSettings Settings,
                            LeafProtocol Protocol, std::string ReadyPath)
     : m_Settings(std::move(Settings)), m_ReadyPath(std::move(ReadyPath)),
-      m_Driver(Io, m_Timers), m_Pool(Io, m_Timers, Protocol.m_RequestId),
+      m_Driver(Io, m_Timers), m_TimeLeftField(Protocol.m_TimeLeft),
+      m_Pool(Io, m_Timers, Protocol.m_RequestId),
       m_Dispatcher(m_Timers, m_Pool, std::move(Protocol),
                    makeDispatchOptions(m_Settings),
                    stableHash(m_Settings.m_Vm.m_Value, std::random_device{}())),
@@ -190,6 +198,16 @@
 
 void EntryTraffic::onCallerRequest(
     const std::shared_ptr<HttpExchange> &Exchange) {
+  if (m_Stopping && !endsBeforeExit(Exchange->request())) {
+    HttpResponse Response =
+        notExecutedResponse("the VM is stopping", StopRetryAfter);
+    Response.set(boost::beast::http::field::connection, "close");
+    m_Dispatcher.metrics()
+        .counter("ragwortdrift_requests_total", {{"outcome", "stopping"}})
+        .add();
+    Exchange->respond(std::move(Response));
+    return;
+  }
   const auto Request = m_Dispatcher.dispatch(
       Exchange->request(), [=, this](HttpResponse Response) {
         // Makes the caller open its next connection to a VM that can serve it.
@@ -204,6 +222,26 @@
     });
 }
 
+bool EntryTraffic::endsBeforeExit(const HttpRequest &Request) const {
+  const auto Host = Request[boost::beast::http::field::host];
+  const auto Target = Request.target();
+  const auto &Routes = m_Dispatcher.routes();
+  const Route *MatchedRoute = Routes
+                                  ? Routes->find({Host.data(), Host.size()},
+                                                 {Target.data(), Target.size()})
+                                  : nullptr;
+  // Without a route the request is refused in any case.
+  if (!MatchedRoute)
+    return true;
+  const auto TimeLeftField = Request[m_TimeLeftField];
+  const Duration Timeout =
+      std::min(MatchedRoute->m_Timeout,
+               parseMillis({TimeLeftField.data(), TimeLeftField.size()})
+                   .value_or(MatchedRoute->m_Timeout));
+  return m_Timers.now() + Timeout + StopResponseMargin <=
+         m_StopStartedAt + m_Settings.m_StopTime - ProcessExitMargin;
+}
+
 void EntryTraffic::onReadinessRequest(
     const std::shared_ptr<HttpExchange> &Exchange) {
   const bool IsReadyPath = Exchange->request().target() == m_ReadyPath;
