Stop a search that loses connections before any leaf answers

Callers saw the leafs of whole shards vanish: a request that crashes each leaf which runs it was repeated and hedged for each shard, up to max_attempts times the number of shards.

An answer shows that the request is harmless and sends the rest at once. Without one it ends with 502.

--- a/include/ragwortdrift/dispatch/active_request.hpp
+++ b/include/ragwortdrift/dispatch/active_request.hpp
@@ -112,6 +112,20 @@
   void retryOrFail(std::size_t SubRequestIndex);
   void abandon(LeafAttempt &Attempt);
 
+  // Containment of a search that crashes leafs.
+  /// Returns true if a sub-request may be sent. After a lost connection a
+  /// search sends no more until a leaf has answered it, since it may crash
+  /// every leaf that runs it.
+  bool mayStart() const;
+  /// Counts a connection that ended while a leaf had the request. After several
+  /// of them and no answer, only the oldest attempt goes on.
+  void onConnectionLost();
+  /// A leaf ran the request to its end: sends all that was held back.
+  void onLeafAnswered();
+  /// Sends again, or fails, a search that waits for an answer although none of
+  /// its attempts is open.
+  void resumeOrFailContained();
+
   // Timing.
   void onTimer();
   void markOverdue(SubRequest &Sub);
@@ -158,6 +172,10 @@
   /// after which enough of them may have one.
   std::optional<Duration> m_AvailableIn;
   bool m_Finished = false;
+  /// A leaf has answered, with a success or a failure of its own.
+  bool m_LeafAnswered = false;
+  /// Attempts whose connection ended before any answer.
+  unsigned m_LostConnections = 0;
   unsigned m_Hedges = 0;
   TimerService::Subscription m_Timer;
   /// Keeps the request alive until it is finished, even while no attempt is
--- a/src/ragwortdrift/dispatch/active_request.cpp
+++ b/src/ragwortdrift/dispatch/active_request.cpp
@@ -364,8 +364,20 @@
   LeafAttempt &Attempt = Sub.m_Attempts[AttemptIndex];
   Attempt.m_Outcome = classify(Outcome);
   recordOutcome(Attempt, Outcome);
-  if (m_Finished || !Sub.isOpen())
+  const bool IsAnswered = Attempt.m_Outcome == AttemptOutcome::Answered ||
+                          Attempt.m_Outcome == AttemptOutcome::LeafFailed;
+  const bool IsConnectionLost =
+      Attempt.m_Outcome == AttemptOutcome::Lost && !isOk(Outcome) &&
+      errorOf(Outcome).m_Code == HttpErrorCode::ConnectionLost;
+  if (m_Finished)
+    return;
+  if (IsConnectionLost)
+    onConnectionLost();
+  if (!Sub.isOpen()) {
+    resumeOrFailContained();
+    finishIfDecided();
     return;
+  }
   if (Attempt.m_Outcome == AttemptOutcome::Answered) {
     Sub.m_Response = std::move(valueOf(Outcome));
     m_Stragglers.onAnswer(timers().now() - m_StartedAt);
@@ -375,6 +387,9 @@
     Sub.m_Failure = std::move(valueOf(Outcome));
   if (!Sub.m_Response)
     retryOrFail(SubRequestIndex);
+  if (IsAnswered)
+    onLeafAnswered();
+  resumeOrFailContained();
   finishIfDecided();
 }
 
@@ -391,10 +406,12 @@
 
 void ActiveRequest::retryOrFail(std::size_t SubRequestIndex) {
   SubRequest &Sub = m_SubRequests[SubRequestIndex];
-  if (canRetry(Sub))
-    send(SubRequestIndex);
-  else if (!hasOpenAttempt(Sub))
+  if (canRetry(Sub)) {
+    if (mayStart())
+      send(SubRequestIndex);
+  } else if (!hasOpenAttempt(Sub)) {
     Sub.m_Failed = true;
+  }
 }
 
 void ActiveRequest::abandon(LeafAttempt &Attempt) {
@@ -445,9 +462,10 @@
     if (!HedgeDue && !RetryDue)
       continue;
     Sub.m_RetryAt.reset();
-    if (canRetry(Sub))
+    if (canRetry(Sub) && mayStart())
       send(I);
   }
+  resumeOrFailContained();
   finishIfDecided();
 }
 
