Remember requests that crash the leafs that run them

Callers were refused since leaf after leaf was away: a request that crashes every leaf came again under a new id, and each attempt was sent as if nothing were known.

A lost connection of a request that no leaf has answered is now followed by a probe of its leaf, which stays in use meanwhile; if the leaf refuses the connection, the crash is recorded under a hash of method, host, path and body. A suspect is sent to one leaf at a time until one answers, which clears it. Requests that lose nothing are not even hashed.

--- a/include/ragwortdrift/dispatch/active_request.hpp
+++ b/include/ragwortdrift/dispatch/active_request.hpp
@@ -117,9 +117,12 @@
   /// search sends no more until a leaf has answered it, since it may crash
   /// every leaf that runs it.
   bool mayStart() const;
+  /// Sends a request that may crash leafs to a single one.
+  void startTrial();
+  void endTrial();
   /// Counts a connection that ended while a leaf had the request. After several
   /// of them and no answer, only the oldest attempt goes on.
-  void onConnectionLost();
+  void onConnectionLost(const std::shared_ptr<LeafView> &Leaf);
   /// A leaf ran the request to its end: sends all that was held back.
   void onLeafAnswered();
   /// Sends again, or fails, a search that waits for an answer although none of
@@ -174,6 +177,9 @@
   bool m_Finished = false;
   /// A leaf has answered, with a success or a failure of its own.
   bool m_LeafAnswered = false;
+  /// The request had crashed leafs before; it is with one leaf at a time until
+  /// one has answered.
+  bool m_IsTrial = false;
   /// Attempts whose connection ended before any answer.
   unsigned m_LostConnections = 0;
   unsigned m_Hedges = 0;
--- a/include/ragwortdrift/dispatch/dispatcher.hpp
+++ b/include/ragwortdrift/dispatch/dispatcher.hpp
@@ -9,6 +9,7 @@
 #include "ragwortdrift/dispatch/leaf_protocol.hpp"
 #include "ragwortdrift/dispatch/leaf_share.hpp"
 #include "ragwortdrift/dispatch/leaf_view.hpp"
+#include "ragwortdrift/policy/crash_suspects.hpp"
 #include "ragwortdrift/policy/hedge.hpp"
 #include "ragwortdrift/routing/route_table.hpp"
 
@@ -100,6 +101,10 @@
   /// Returns the leafs of the local failure domain that this VM uses, or will
   /// use with the configuration that it holds.
   std::vector<ListedLeaf> preferredLeafs() const;
+  /// Returns what this VM has newly learned of requests that crash leafs.
+  std::vector<CrashRecord> takeCrashRecords();
+  /// Adds what other VMs have learned of such requests.
+  void addCrashRecords(const std::vector<CrashRecord> &Records);
   /// Called when a leaf closes an idle connection early, which may mean that it
   /// was restarted.
   void onIdleClose(const LeafId &Id);
@@ -159,6 +164,19 @@
   std::optional<Duration> unknownRouteRetryAfter(std::string_view Host,
                                                  std::string_view Path) const;
 
+  // Requests that crash leafs.
+  /// Returns the Retry-After with which a request must be refused, since it
+  /// crashes every leaf or an attempt to find out is in progress.
+  std::optional<Duration> crashRefusal(const HttpRequest &Request) const;
+  /// Calls back if a leaf that has just lost a connection is gone. The leaf
+  /// stays in use until that is known, as most have only lost an answer.
+  void checkCrash(const std::shared_ptr<LeafView> &View,
+                  std::function<void()> OnCrashed);
+  void probeCrash(const std::shared_ptr<LeafView> &View, unsigned ProbesLeft);
+  void onRequestCrashedLeaf(RequestFingerprint Fingerprint,
+                            const ListedLeaf &Leaf, bool IsTrial);
+  void onRequestAnswered(RequestFingerprint Fingerprint);
+
   TimerService &m_Timers;
   LeafTransport &m_Transport;
   LeafProtocol m_Protocol;
@@ -178,6 +196,11 @@
   std::map<std::string, RouteStats> m_Stats;
   std::map<LeafId, TimerService::Subscription> m_Probes;
   std::map<LeafId, LeafObservation> m_Observed;
+  CrashSuspects m_Suspects;
+  /// Suspects of which an attempt is with a leaf.
+  std::set<RequestFingerprint> m_Trials;
+  /// Leafs that are probed for a crash.
+  std::map<LeafId, std::vector<std::function<void()>>> m_CrashChecks;
   std::size_t m_EntryCount = 1;
   std::size_t m_InFlight = 0;
   std::size_t m_InFlightBytes = 0;
@@ -195,6 +218,10 @@
 /// flight.
 std::size_t requestBytes(const Route &Target, const HttpRequest &Request);
 
+/// Returns the hash of what stays the same when a caller sends a request again:
+/// method, host, path with query, and body.
+RequestFingerprint fingerprintOf(const HttpRequest &Request);
+
 /// Builds a 503 response that promises that the request was not executed, with
 /// a Retry-After header.
 HttpResponse notExecutedResponse(std::string_view Reason, Duration RetryAfter);
--- a/src/ragwortdrift/dispatch/active_request.cpp
+++ b/src/ragwortdrift/dispatch/active_request.cpp
@@ -116,11 +116,13 @@
   m_Owner.m_InFlightBytes += m_Bytes;
   m_HedgeDelay = hedgeDelay();
   failUnavailable();
+  startTrial();
   for (std::size_t I = 0; I < m_SubRequests.size() && !m_AvailableIn; ++I) {
     m_Owner.budget(m_SubRequests[I].m_Service).onFirstRequest();
-    if (m_SubRequests[I].isOpen())
+    if (m_SubRequests[I].isOpen() && mayStart())
       send(I);
   }
+  resumeOrFailContained();
   finishIfDecided();
 }
 
@@ -167,6 +169,7 @@
 
 void ActiveRequest::leaveFlight() {
   m_Finished = true;
+  endTrial();
   --m_Owner.m_InFlight;
   m_Owner.m_InFlightBytes -= m_Bytes;
 }
@@ -369,10 +372,10 @@
   const bool IsConnectionLost =
       Attempt.m_Outcome == AttemptOutcome::Lost && !isOk(Outcome) &&
       errorOf(Outcome).m_Code == HttpErrorCode::ConnectionLost;
+  if (IsConnectionLost)
+    onConnectionLost(Attempt.m_Leaf);
   if (m_Finished)
     return;
-  if (IsConnectionLost)
-    onConnectionLost();
   if (!Sub.isOpen()) {
     resumeOrFailContained();
     finishIfDecided();
--- a/src/ragwortdrift/dispatch/deadly_request_test.cpp
+++ b/src/ragwortdrift/dispatch/deadly_request_test.cpp
@@ -86,6 +86,8 @@
     {"three leafs", {"s3", "s1", "s2"}, 0},
 };
 
+const char *const DeadlyPathCases[] = {"/s/", "/r/", "/b/"};
+
 } // namespace
 
 // Guards against a search that crashes two leafs of each shard within
@@ -131,3 +133,120 @@
   F.answerAll();
   cr_assert_eq((*F.m_Response)["T-Missing"], "0");
 }
+
+// Guards against a request that crashes leafs with each of its attempts, since
+// the VM knows nothing of the attempts before.
+TABLE_TEST(deadly_request, is_refused_after_few_crashes, DeadlyPathCases) {
+  CrashFixture F;
+  std::size_t Crashed = 0;
+  for (int Attempt = 0; Attempt < 10; ++Attempt) {
+    F.sendRequest(Row);
+    Crashed += F.crashAllLeafs();
+    F.restartLeafs();
+  }
+  cr_assert_leq(Crashed, 4U, "%s: %zu", Row, Crashed);
+  cr_assert_eq(F.m_Response->result_int(), 503U);
+  cr_assert(!(*F.m_Response)["Retry-After"].empty());
+}
+
+// Guards against refusals of innocent requests: those that run while many leafs
+// crash are served by their next attempt.
+TABLE_TEST(deadly_request, serves_innocent_request_after_mass_crash,
+           DeadlyPathCases) {
+  CrashFixture F;
+  F.sendRequest(Row);
+  F.crashAllLeafs();
+  F.restartLeafs();
+  F.sendRequest(Row);
+  F.answerAll();
+  cr_assert_eq(F.m_Response->result_int(), 200U);
+  cr_assert_neq((*F.m_Response)["T-Missing"], "1");
+  // From now on all of its shards are asked at once.
+  F.sendRequest(Row);
+  cr_assert_eq(F.openRequests(), std::string(Row) == "/s/" ? 4U : 1U);
+}
+
+// Guards against suspicion of requests whose answers are lost while their leafs
+// go on.
+Test(deadly_request, does_not_suspect_lost_answers) {
+  CrashFixture F;
+  for (int Attempt = 0; Attempt < 5; ++Attempt) {
+    F.sendRequest("/s/");
+    while (!F.m_Response) {
+      F.advanceTime(5ms);
+      for (const std::string &Service : F.services())
+        if (!F.m_Response && !F.m_Transport.openRequests(Service).empty())
+          F.m_Transport.complete(F.m_Transport.openRequests(Service).front(),
+                                 F.connectionLost());
+      F.answerProbes();
+    }
+    F.advanceTime(1s);
+  }
+  F.sendRequest("/s/");
+  cr_assert_eq(F.openRequests(), 4U);
+}
+
+// Guards against VMs that each learn for themselves: two VMs that exchange
+// records, and one that has just started, refuse what one of them has learned.
+Test(deadly_request, is_refused_by_vms_that_exchange_records) {
+  CrashFixture A(1), B(2);
+  std::size_t Crashed = 0;
+  std::vector<CrashRecord> Records;
+  for (int Attempt = 0; Attempt < 10; ++Attempt) {
+    CrashFixture &Vm = Attempt % 2 == 0 ? A : B;
+    CrashFixture &Other = Attempt % 2 == 0 ? B : A;
+    Vm.sendRequest("/r/");
+    Crashed += Vm.crashAllLeafs();
+    Vm.restartLeafs();
+    const auto News = Vm.m_Dispatcher.takeCrashRecords();
+    Records.insert(Records.end(), News.begin(), News.end());
+    Other.m_Dispatcher.addCrashRecords(News);
+  }
+  cr_assert_leq(Crashed, 4U);
+  CrashFixture Restarted(3);
+  Restarted.m_Dispatcher.addCrashRecords(Records);
+  Restarted.sendRequest("/r/");
+  cr_assert_eq(Restarted.openRequests(), 0U);
+  cr_assert_eq(Restarted.m_Response->result_int(), 503U);
+}
+
+// Guards against suspicion of requests that were on the leafs of a deadly one:
+// once answered they are sent to all shards again, on every VM.
+Test(deadly_request, clears_innocent_request_on_all_vms) {
+  CrashFixture A(1), B(2);
+  A.sendRequest("/s/");
+  A.crashAllLeafs();
+  A.restartLeafs();
+  B.m_Dispatcher.addCrashRecords(A.m_Dispatcher.takeCrashRecords());
+  B.sendRequest("/s/");
+  cr_assert_eq(B.openRequests(), 1U);
+  // A second attempt is not sent beside the one that decides.
+  B.sendRequest("/s/");
+  cr_assert_eq(B.openRequests(), 1U);
+  cr_assert_eq(B.m_Response->result_int(), 503U);
+  B.m_Response.reset();
+  B.advanceTime(5ms);
+  for (const std::string &Service : B.services())
+    if (!B.m_Transport.openRequests(Service).empty()) {
+      B.respondToOldest(Service);
+      break;
+    }
+  cr_assert_eq(B.openRequests(), 3U);
+  A.m_Dispatcher.addCrashRecords(B.m_Dispatcher.takeCrashRecords());
+  A.sendRequest("/s/");
+  cr_assert_eq(A.openRequests(), 4U);
+}
+
+// Guards against memory for requests that lose nothing.
+Test(deadly_request, stores_nothing_for_served_requests) {
+  CrashFixture F;
+  F.serveRequests("/s/");
+  F.sendRequest("/s/");
+  F.crashOldest("s1");
+  F.respondToOldest("s2");
+  F.answerAll();
+  F.answerProbes();
+  const auto Records = F.m_Dispatcher.takeCrashRecords();
+  cr_assert(std::all_of(Records.begin(), Records.end(),
+                        [](const auto &Item) { return Item.m_Answered; }));
+}
--- a/src/ragwortdrift/dispatch/dispatcher.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher.cpp
@@ -54,7 +54,7 @@
                        std::uint64_t Seed)
     : m_Timers(Timers), m_Transport(Transport), m_Protocol(std::move(Protocol)),
       m_Options(std::move(Options)), m_Engine(Seed), m_StartedAt(Timers.now()),
-      m_ConfigSwitch(m_Options.m_MaxConfigDelay) {}
+      m_ConfigSwitch(m_Options.m_MaxConfigDelay), m_Suspects(m_Options.m_Vm) {}
 
 Dispatcher::~Dispatcher() = default;
 
@@ -288,6 +288,10 @@
     return Refuse(
         jsonResponse(400, R"({"error":"bad_request","not_run":true})"),
         "bad_request");
+  if (const auto Delay = crashRefusal(Request))
+    return Refuse(notExecutedResponse(
+                      "the request has crashed the leafs that ran it", *Delay),
+                  "crashes_leafs");
   if (m_InFlight >= m_Options.m_MaxInFlight)
     return Refuse(
         notExecutedResponse("too many requests in flight", BusyRetryAfter),
