Share which requests crash leafs between all VMs

Each VM learned for itself which requests crash leafs, so one that came again at other VMs crashed leafs there, and a VM that restarted forgot.

Entry VMs send new crashes and clearances at once to their core VM (/crashes), which passes them on to the other core VMs and, in reports, to its watchers; a new watcher gets all records before state and list. An entry VM offers what it holds to each core VM that connects again, and core VMs repeat their records to each other each second while there are any. Merging is idempotent and independent of order, and a record that is no news is not sent on. A message holds at most 256 records.

--- a/include/ragwortdrift/dispatch/dispatcher.hpp
+++ b/include/ragwortdrift/dispatch/dispatcher.hpp
@@ -103,6 +103,10 @@
   std::vector<ListedLeaf> preferredLeafs() const;
   /// Returns what this VM has newly learned of requests that crash leafs.
   std::vector<CrashRecord> takeCrashRecords();
+  /// Calls back with the same as soon as there is any.
+  void onCrashRecords(std::function<void(std::vector<CrashRecord>)> OnRecords) {
+    m_OnCrashRecords = std::move(OnRecords);
+  }
   /// Adds what other VMs have learned of such requests.
   void addCrashRecords(const std::vector<CrashRecord> &Records);
   /// Called when a leaf closes an idle connection early, which may mean that it
@@ -176,6 +180,7 @@
   void onRequestCrashedLeaf(RequestFingerprint Fingerprint,
                             const ListedLeaf &Leaf, bool IsTrial);
   void onRequestAnswered(RequestFingerprint Fingerprint);
+  void reportCrashRecords();
 
   TimerService &m_Timers;
   LeafTransport &m_Transport;
@@ -197,6 +202,7 @@
   std::map<LeafId, TimerService::Subscription> m_Probes;
   std::map<LeafId, LeafObservation> m_Observed;
   CrashSuspects m_Suspects;
+  std::function<void(std::vector<CrashRecord>)> m_OnCrashRecords;
   /// Suspects of which an attempt is with a leaf.
   std::set<RequestFingerprint> m_Trials;
   /// Leafs that are probed for a crash.
--- a/include/ragwortdrift/fleet/core_node.hpp
+++ b/include/ragwortdrift/fleet/core_node.hpp
@@ -133,6 +133,16 @@
   /// estimates for slow or failing leafs.
   void shareObservations();
 
+  // Requests that crash leafs.
+  void onCrashReport(const PeerRequest &Request);
+  /// Sends new records to the watchers, and those of entry VMs to the other
+  /// core VMs.
+  void shareNewCrashes();
+  /// Sends all records to the other core VMs, of which one may have restarted
+  /// or been cut off.
+  void repeatCrashes();
+  static SharedMessage crashUpdate(std::vector<CrashRecord> Records);
+
   boost::asio::io_context &m_Io;
   FleetSettings m_Settings;
   std::string m_Address;
@@ -181,6 +191,11 @@
   std::map<LeafId, LeafObservation> m_NewObservations;
   /// Number of leafs in the last estimates sent to watchers.
   std::size_t m_LastEstimateCount = 0;
+  CrashSuspects m_Crashes;
+  /// Records not yet shared with the watchers, and with the other core VMs.
+  std::vector<CrashRecord> m_CrashesForWatchers;
+  std::vector<CrashRecord> m_CrashesForCores;
+  TimerService::Subscription m_CrashTimer;
   MetricsRegistry m_Metrics;
   std::vector<TimerService::Subscription> m_Periodic;
   TimerService::Subscription m_ListTimer;
--- a/include/ragwortdrift/fleet/entry_control.hpp
+++ b/include/ragwortdrift/fleet/entry_control.hpp
@@ -29,6 +29,7 @@
   /// Called with a time at which the configuration received last was the newest
   /// one.
   std::function<void(TimePoint)> m_RoutesConfirmed = [](TimePoint) {};
+  std::function<void(std::vector<CrashRecord>)> m_Crashes;
 };
 
 /// The control state of an entry VM. It watches the core VMs, adopts the newest
@@ -50,6 +51,10 @@
   void addCores(const std::vector<Endpoint> &Cores);
   /// Sends observations of leafs to the core VM that is the current source.
   void sendObservations(std::vector<LeafObservation> Observations);
+  /// Sends what the traffic side has learned of requests that crash leafs to
+  /// the current source, and later to every core VM that connects again, since
+  /// it may have lost its memory.
+  void sendCrashes(const std::vector<CrashRecord> &Records);
 
 private:
   struct Watch {
@@ -88,6 +93,9 @@
   /// Confirms the local configuration if the report shows that there is no
   /// newer one.
   void confirmRoutes(const CoreReport &Report);
+  void takeCrashes(const std::vector<CrashRecord> &Records);
+  void offerCrashes(const std::string &Address,
+                    std::vector<CrashRecord> Records);
   void readListIfStale();
   void readList();
 
@@ -127,6 +135,7 @@
   std::uint64_t m_LastReadCallCount = 1;
   bool m_HasList = false;
   TimerService::Subscription m_FirstListTimer;
+  CrashSuspects m_Crashes;
   std::vector<TimerService::Subscription> m_Periodic;
 };
 
--- a/include/ragwortdrift/fleet/entry_traffic.hpp
+++ b/include/ragwortdrift/fleet/entry_traffic.hpp
@@ -32,6 +32,9 @@
   /// call, unless there are none.
   void reportObservations(
       std::function<void(std::vector<LeafObservation>)> Callback);
+  /// Calls back at once when a request is found to crash leafs, or cleared.
+  void reportCrashes(std::function<void(std::vector<CrashRecord>)> Callback);
+  void addCrashes(const std::vector<CrashRecord> &Records);
 
   /// Stops gracefully: readiness fails first and responses announce the close
   /// of their connections, then no new connections are accepted. Requests whose
--- a/include/ragwortdrift/fleet/messages.hpp
+++ b/include/ragwortdrift/fleet/messages.hpp
@@ -5,6 +5,7 @@
 #include "ragwortdrift/consensus/raft_types.hpp"
 #include "ragwortdrift/dispatch/leaf_list.hpp"
 #include "ragwortdrift/dispatch/leaf_observation.hpp"
+#include "ragwortdrift/policy/crash_suspects.hpp"
 #include "ragwortdrift/routing/routing_state.hpp"
 #include "ragwortdrift/routing/text_delta.hpp"
 
@@ -106,7 +107,15 @@
   }
 };
 
-using WatchMessage = std::variant<CoreReport, StateUpdate, ListUpdate>;
+/// Requests that crash leafs: at first those known, later what is new. Takes
+/// effect at once.
+struct CrashUpdate {
+  std::vector<CrashRecord> m_Records;
+  template <class Archive> void serialize(Archive &Ar) { Ar(m_Records); }
+};
+
+using WatchMessage =
+    std::variant<CoreReport, StateUpdate, ListUpdate, CrashUpdate>;
 
 /// Sends a core VM the observations of leafs since the previous report.
 struct ObservationReport {
@@ -119,6 +128,20 @@
   }
 };
 
+/// Bounds messages with crash records, at some 40 KiB.
+constexpr std::size_t MaxCrashRecordsPerMessage = 256;
+
+/// Sends a core VM what is known of requests that crash leafs.
+struct CrashReport {
+  /// True if a core VM sent the records; they are not forwarded again to other
+  /// core VMs.
+  bool m_FromCore = false;
+  std::vector<CrashRecord> m_Records;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_FromCore, m_Records);
+  }
+};
+
 /// Requests that the leader commit an operator command.
 struct CommandRequest {
   RoutingCommand m_Command;
--- a/include/ragwortdrift/policy/crash_suspects.hpp
+++ b/include/ragwortdrift/policy/crash_suspects.hpp
@@ -74,9 +74,8 @@
   /// request was a suspect and had been sent to no other leaf.
   void onCrash(RequestFingerprint Fingerprint, LeafRun Leaf, bool IsTrial,
                TimePoint Now);
-  /// A leaf has answered the request. Only matters to a fingerprint with
-  /// crashes.
-  void onAnswer(RequestFingerprint Fingerprint, TimePoint Now);
+  /// A leaf has answered the request. Returns true if that clears a suspect.
+  bool onAnswer(RequestFingerprint Fingerprint);
   /// Adds what another VM knows. Returns the records that were news, in full.
   std::vector<CrashRecord> merge(const std::vector<CrashRecord> &Records,
                                  TimePoint Now);
@@ -84,7 +83,6 @@
   /// Returns the records that onCrash() and onAnswer() have changed since the
   /// last call.
   std::vector<CrashRecord> takeChanges(TimePoint Now);
-  bool hasChanges() const;
   /// Returns at most Limit records, the latest crashes first.
   std::vector<CrashRecord> latest(std::size_t Limit, TimePoint Now) const;
 
--- a/src/ragwortdrift/dispatch/crash_evidence.cpp
+++ b/src/ragwortdrift/dispatch/crash_evidence.cpp
@@ -101,10 +101,20 @@
                {"leaf", Leaf.m_Id},
                {"trial", IsTrial},
                {"verdict", m_Suspects.verdict(Fingerprint, Now)}});
+  reportCrashRecords();
 }
 
 void Dispatcher::onRequestAnswered(RequestFingerprint Fingerprint) {
-  m_Suspects.onAnswer(Fingerprint, m_Timers.now());
+  if (!m_Suspects.onAnswer(Fingerprint))
+    return;
+  m_Log.write(m_Timers.now(), "request.cleared",
+              {{"fingerprint", Fingerprint}});
+  reportCrashRecords();
+}
+
+void Dispatcher::reportCrashRecords() {
+  if (m_OnCrashRecords)
+    m_OnCrashRecords(takeCrashRecords());
 }
 
 std::vector<CrashRecord> Dispatcher::takeCrashRecords() {
--- a/src/ragwortdrift/fleet/core_membership.cpp
+++ b/src/ragwortdrift/fleet/core_membership.cpp
@@ -204,8 +204,13 @@
                     WatcherState.m_Revision, WatcherState.m_ListVersion};
   Response->onCancel([this, Id] { m_Watchers.erase(Id); });
   Response->onDrained([this, Id] { onWatcherDrained(Id); });
-  if (WatcherState.m_Kind != WatchKind::ListForCore)
+  if (WatcherState.m_Kind != WatchKind::ListForCore) {
     m_EntryLastSeenAt[Request.m_Sender] = m_Timers.now();
+    // A watcher that has just started must not serve before it knows them.
+    if (!m_Crashes.empty())
+      Response->send(crashUpdate(
+          m_Crashes.latest(MaxCrashRecordsPerMessage, m_Timers.now())));
+  }
   sendReport(Id);
 }
 
--- a/src/ragwortdrift/fleet/core_node.cpp
+++ b/src/ragwortdrift/fleet/core_node.cpp
@@ -30,6 +30,9 @@
 /// Interval at which observations are shared between core VMs. A slow leaf
 /// stays slow for seconds, so a shorter interval gains nothing.
 constexpr std::chrono::milliseconds ObservationShareInterval{250};
+/// Interval at which core VMs repeat to each other which requests crash leafs,
+/// while any are known: an entry VM must know of them within seconds.
+constexpr std::chrono::seconds CrashRepeatInterval{1};
 /// Interval of the log lines on memory after changes of the state.
 constexpr std::chrono::seconds MemoryLogInterval{1};
 /// A command may contain a whole configuration, so frequent snapshots bound the
@@ -78,6 +81,8 @@
       m_Timers.every(ReportInterval, [this] { sendReports(); }));
   m_Periodic.push_back(m_Timers.every(ObservationShareInterval,
                                       [this] { shareObservations(); }));
+  m_Periodic.push_back(
+      m_Timers.every(CrashRepeatInterval, [this] { repeatCrashes(); }));
   m_Periodic.push_back(
       m_Timers.every(MemoryLogInterval, [this] { logMemory(); }));
   m_ListTimer = m_Timers.after(Duration{0}, [this] { updateLeafList(); });
@@ -263,6 +268,11 @@
     onObservationReport(Request);
     Response->finish();
   });
+  m_PeerServer.handle("/crashes", [this](const PeerRequest &Request,
+                                         const StreamPtr &Response) {
+    onCrashReport(Request);
+    Response->finish();
+  });
   m_PeerServer.handle(
       "/watch", [this](const PeerRequest &Request, const StreamPtr &Response) {
         onWatchRequest(Request, Response);
--- a/src/ragwortdrift/fleet/entry_control.cpp
+++ b/src/ragwortdrift/fleet/entry_control.cpp
@@ -160,6 +160,8 @@
   WatchMessage &Decoded = valueOf(DecodeResult);
   if (auto *Report = std::get_if<CoreReport>(&Decoded))
     return onReport(Sender, std::move(*Report));
+  if (const auto *Update = std::get_if<CrashUpdate>(&Decoded))
+    return takeCrashes(Update->m_Records);
   const auto Position = m_Watches.find(Sender);
   if (Position == m_Watches.end())
     return;
@@ -216,9 +218,12 @@
   Watch &CoreWatch = Position->second;
   CoreWatch.m_Version = {Report.m_Domain, Report.m_Revision,
                          Report.m_ListVersion};
-  if (!std::exchange(CoreWatch.m_Connected, true))
+  if (!std::exchange(CoreWatch.m_Connected, true)) {
     logEvent(LogSeverity::Info, "core.connected",
              {{"core", Sender}, {"revision", Report.m_Revision}});
+    offerCrashes(Sender,
+                 m_Crashes.latest(MaxCrashRecordsPerMessage, m_Timers.now()));
+  }
   m_NewestRevision = std::max(m_NewestRevision, Report.m_Revision);
   recordNewerRevision(Report);
   takeUpdates(Sender, CoreWatch);
--- a/src/ragwortdrift/fleet/entry_traffic.cpp
+++ b/src/ragwortdrift/fleet/entry_traffic.cpp
@@ -190,6 +190,15 @@
       }));
 }
 
+void EntryTraffic::reportCrashes(
+    std::function<void(std::vector<CrashRecord>)> Callback) {
+  m_Dispatcher.onCrashRecords(std::move(Callback));
+}
+
+void EntryTraffic::addCrashes(const std::vector<CrashRecord> &Records) {
+  m_Dispatcher.addCrashRecords(Records);
+}
+
 void EntryTraffic::updateConnectionLimits() {
   for (const RoutedService &Service : m_Dispatcher.services())
     m_Pool.setConnectionLimit(Service.m_Name,
--- a/src/ragwortdrift/fleet/fleet_fixture.hpp
+++ b/src/ragwortdrift/fleet/fleet_fixture.hpp
@@ -223,6 +223,9 @@
       m_Estimates = std::move(Estimates);
     };
     Updates.m_EntryCount = [this](std::size_t Count) { m_EntryCount = Count; };
+    Updates.m_Crashes = [this](const std::vector<CrashRecord> &Records) {
+      m_Crashes.insert(m_Crashes.end(), Records.begin(), Records.end());
+    };
     return Updates;
   }
 
@@ -232,6 +235,7 @@
   std::size_t m_EntryCount = 0;
   std::vector<LeafList> m_LeafLists;
   std::vector<LeafEstimate> m_Estimates;
+  std::vector<CrashRecord> m_Crashes;
   EntryControl m_Control;
 };
 
--- a/src/ragwortdrift/fleet/fleet_test.cpp
+++ b/src/ragwortdrift/fleet/fleet_test.cpp
@@ -336,6 +336,55 @@
   }));
 }
 
+// Guards against a request that crashes the leafs of one entry VM after the
+// other: what one of them learns reaches those with another core VM, one that
+// has just started, and core VMs that have restarted.
+Test(fleet, shares_crashing_requests_between_vms) {
+  TestFleet Fleet(3);
+  Fleet.startInitialVoters();
+  Fleet.submitUntilDecided(0, TestFleet::config(1));
+  std::vector<std::unique_ptr<TestEntry>> Entries;
+  for (std::size_t I = 0; I < 3; ++I) {
+    FleetSettings Settings =
+        TestEntry::settings(Fleet, ("entry-" + std::to_string(I)).c_str());
+    Settings.m_Cores = {Fleet.m_Peers[I]};
+    Entries.push_back(std::make_unique<TestEntry>(Fleet, Settings));
+    cr_assert(Fleet.runUntil([&] { return !Entries[I]->m_LeafLists.empty(); }));
+  }
+  const CrashRecord Crash{
+      RequestFingerprint{7}, {{LeafRun{1}, true}}, false, 0ms};
+  const auto SentAt = std::chrono::steady_clock::now();
+  Entries[0]->m_Control.sendCrashes({Crash});
+  cr_assert(Fleet.runUntil([&] {
+    return !Entries[1]->m_Crashes.empty() && !Entries[2]->m_Crashes.empty();
+  }));
+  cr_assert_lt(std::chrono::steady_clock::now() - SentAt, 1s);
+  cr_assert(Entries[1]->m_Crashes[0].m_Crashes == Crash.m_Crashes);
+  // All core VMs lose their memory and learn from the entry VMs, then from each
+  // other.
+  Entries.pop_back();
+  for (std::size_t I = 0; I < 3; ++I)
+    Fleet.m_Nodes[I].reset();
+  for (std::size_t I = 0; I < 3; ++I)
+    Fleet.start(I, false);
+  for (std::size_t I = 0; I < 3; ++I)
+    cr_assert(Fleet.runUntil([&] {
+      return Fleet.gaugeValue(I, "ragwortdrift_crash_suspects") == 1;
+    }));
+  TestEntry Restarted(Fleet, "restarted");
+  cr_assert(Fleet.runUntil([&] { return !Restarted.m_Versions.empty(); }));
+  cr_assert_eq(Restarted.m_Crashes.size(), 1U);
+  // A clearance takes the same way.
+  CrashRecord Cleared = Crash;
+  Cleared.m_Answered = true;
+  Restarted.m_Control.sendCrashes({Cleared});
+  cr_assert(Fleet.runUntil([&] {
+    return std::all_of(Entries.begin(), Entries.end(), [](const auto &Entry) {
+      return !Entry->m_Crashes.empty() && Entry->m_Crashes.back().m_Answered;
+    });
+  }));
+}
+
 // Guards against entry VMs that each claim the budgets of the whole fleet after
 // a restart of all VMs.
 Test(fleet, remembers_entry_vm_count_after_full_restart) {
--- a/src/ragwortdrift/policy/crash_suspects.cpp
+++ b/src/ragwortdrift/policy/crash_suspects.cpp
@@ -109,13 +109,13 @@
   evict(Now);
 }
 
-void CrashSuspects::onAnswer(RequestFingerprint Fingerprint, TimePoint Now) {
-  evict(Now);
+bool CrashSuspects::onAnswer(RequestFingerprint Fingerprint) {
   const auto Found = m_Records.find(Fingerprint);
   if (Found == m_Records.end() || Found->second.m_Answered)
-    return;
+    return false;
   Found->second.m_Answered = true;
   Found->second.m_Changed = true;
+  return true;
 }
 
 std::vector<CrashRecord>
@@ -151,11 +151,6 @@
   return News;
 }
 
-bool CrashSuspects::hasChanges() const {
-  return std::any_of(m_Records.begin(), m_Records.end(),
-                     [](const auto &Item) { return Item.second.m_Changed; });
-}
-
 std::vector<CrashRecord> CrashSuspects::takeChanges(TimePoint Now) {
   std::vector<CrashRecord> Out;
   for (auto &[Fingerprint, Item] : m_Records)
--- a/src/ragwortdrift/policy/crash_suspects_test.cpp
+++ b/src/ragwortdrift/policy/crash_suspects_test.cpp
@@ -73,7 +73,7 @@
     Suspects.onCrash(Fingerprint, LeafRun{std::uint64_t(Leaf)}, IsTrial,
                      at(0s));
   if (Row.m_Answered)
-    Suspects.onAnswer(Fingerprint, at(0s));
+    Suspects.onAnswer(Fingerprint);
   cr_assert_eq(Suspects.verdict(Fingerprint, at(Row.m_Age)), Row.m_Verdict,
                "%s", Row.m_Name);
 }
