Answer 503 for unknown routes while a newer revision is known to exist

Callers got 404 for a route that the newest configuration adds, from entry VMs that had been told of that configuration and had not received it yet.

Cause: a report of a newer revision only kept the configuration from being confirmed again, and an earlier confirmation still held for half of the propagation time.

Without the revocation dispatcher/answers_404_only_while_config_is_confirmed failed with "The expression (StatusOf("/none/")) == (503U) is false" and config_freshness/ confirms_only_newest_config in two of seven cases: "other core VM has newer state", "newer configuration cannot be read".

The confirmation is now revoked as soon as any core VM reports a newer revision, until the entry VM has received it.

--- a/include/ragwortdrift/dispatch/dispatcher.hpp
+++ b/include/ragwortdrift/dispatch/dispatcher.hpp
@@ -72,9 +72,10 @@
   /// been accepted, now by default.
   void setRoutes(std::shared_ptr<const RouteTable> Routes,
                  std::optional<TimePoint> AcceptedAt = std::nullopt);
-  /// Records that the configuration received last was the newest one at a time.
-  void confirmRoutes(TimePoint Time) {
-    m_RoutesConfirmedAt = std::max(m_RoutesConfirmedAt, Time);
+  /// Records that the configuration received last was the newest one at a time,
+  /// or, without a time, that there is a newer one.
+  void confirmRoutes(std::optional<TimePoint> Time) {
+    m_RoutesConfirmedAt = Time ? std::max(m_RoutesConfirmedAt, Time) : Time;
   }
   /// Applies a held configuration that is due. Called periodically while
   /// holdsRoutes().
@@ -189,7 +190,8 @@
   std::mt19937_64 m_Engine;
   TimePoint m_StartedAt;
   ConfigSwitch m_ConfigSwitch;
-  TimePoint m_RoutesConfirmedAt;
+  /// Absent while there is a newer configuration.
+  std::optional<TimePoint> m_RoutesConfirmedAt = TimePoint{};
   LeafDirectory m_Leafs;
   struct Budget {
     HedgeBudget m_Tokens;
--- a/include/ragwortdrift/fleet/entry_control.hpp
+++ b/include/ragwortdrift/fleet/entry_control.hpp
@@ -27,9 +27,11 @@
   std::function<void(std::vector<LeafEstimate>)> m_Estimates;
   std::function<void(std::size_t)> m_EntryCount;
   /// Called with a time at which the configuration received last was the newest
-  /// one.
-  std::function<void(TimePoint)> m_RoutesConfirmed = [](TimePoint) {};
-  std::function<void(std::vector<CrashRecord>)> m_Crashes;
+  /// one, or without a time if there is a newer one.
+  std::function<void(std::optional<TimePoint>)> m_RoutesConfirmed =
+      [](std::optional<TimePoint>) {};
+  std::function<void(std::vector<CrashRecord>)> m_Crashes =
+      [](const std::vector<CrashRecord> &) {};
 };
 
 /// The control state of an entry VM. It watches the core VMs, adopts the newest
@@ -91,7 +93,7 @@
   /// had been accepted.
   TimePoint acceptanceTime(std::uint64_t Revision) const;
   /// Confirms the local configuration if the report shows that there is no
-  /// newer one.
+  /// newer one, and revokes that if there is.
   void confirmRoutes(const CoreReport &Report);
   void takeCrashes(const std::vector<CrashRecord> &Records);
   void offerCrashes(const std::string &Address,
--- a/include/ragwortdrift/fleet/entry_traffic.hpp
+++ b/include/ragwortdrift/fleet/entry_traffic.hpp
@@ -23,7 +23,9 @@
   void setRoutes(std::shared_ptr<const RouteTable> Routes,
                  TimePoint AcceptedAt);
   /// See Dispatcher::confirmRoutes().
-  void confirmRoutes(TimePoint Time) { m_Dispatcher.confirmRoutes(Time); }
+  void confirmRoutes(std::optional<TimePoint> Time) {
+    m_Dispatcher.confirmRoutes(Time);
+  }
   void setDomainsOut(const std::set<FailureDomain> &Domains);
   void setLeafs(const LeafList &List);
   void setEntryCount(std::size_t Count);
--- a/src/ragwortdrift/dispatch/dispatcher.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher.cpp
@@ -237,7 +237,8 @@
   // return to the older one, which is not allowed.
   if (holdsRoutes() && m_ConfigSwitch.held()->find(Host, Path))
     return m_ConfigSwitch.heldUntil() - m_Timers.now();
-  if (m_Timers.now() - m_RoutesConfirmedAt > m_Options.m_MaxUnconfirmedTime)
+  if (!m_RoutesConfirmedAt ||
+      m_Timers.now() - *m_RoutesConfirmedAt > m_Options.m_MaxUnconfirmedTime)
     return BusyRetryAfter;
   return std::nullopt;
 }
--- a/src/ragwortdrift/dispatch/unknown_route_test.cpp
+++ b/src/ragwortdrift/dispatch/unknown_route_test.cpp
@@ -50,6 +50,12 @@
   cr_assert_eq(StatusOf("/none/"), 404U);
   F.advanceTime(1ms);
   cr_assert_eq(StatusOf("/none/"), 503U);
+  F.m_Dispatcher.confirmRoutes(F.m_Timers.now());
+  F.m_Dispatcher.confirmRoutes(std::nullopt);
+  cr_assert_eq(StatusOf("/none/"), 503U);
+  F.m_Dispatcher.confirmRoutes(F.m_Timers.now());
+  cr_assert_eq(StatusOf("/none/"), 404U);
+  F.m_Dispatcher.confirmRoutes(std::nullopt);
   // Known routes are served all the while.
   cr_assert_eq(StatusOf("/r/"), 0U);
 }
--- a/src/ragwortdrift/fleet/config_freshness_test.cpp
+++ b/src/ragwortdrift/fleet/config_freshness_test.cpp
@@ -69,7 +69,7 @@
     Updates.m_Leafs = [](const LeafList &) {};
     Updates.m_Estimates = [](const std::vector<LeafEstimate> &) {};
     Updates.m_EntryCount = [](std::size_t) {};
-    Updates.m_RoutesConfirmed = [this](TimePoint Time) {
+    Updates.m_RoutesConfirmed = [this](std::optional<TimePoint> Time) {
       m_ConfirmedAt = Time;
     };
     m_Entry = std::make_unique<EntryControl>(
@@ -117,7 +117,7 @@
   std::uint64_t m_Version = 0;
   /// Age of the configuration when it was received.
   Duration m_Age{0};
-  TimePoint m_ConfirmedAt;
+  std::optional<TimePoint> m_ConfirmedAt = TimePoint{};
   std::unique_ptr<EntryControl> m_Entry;
 };
 
@@ -127,15 +127,17 @@
   bool m_SourceIsUpToDate;
   std::uint64_t m_OtherRevision;
   bool m_IsConfirmed;
+  /// True if the entry VM knows that there is a newer configuration.
+  bool m_IsOutdated;
 };
 const ConfirmCase ConfirmCases[] = {
-    {"both agree", 1, true, 1, true},
-    {"other core VM can tell no state", 1, true, 0, true},
-    {"source has newer state", 2, true, 1, true},
-    {"source has lost the leader", 1, false, 1, false},
-    {"source can tell no state", 0, false, 1, false},
-    {"other core VM has newer state", 1, true, 2, false},
-    {"newer configuration cannot be read", 9, true, 1, false},
+    {"both agree", 1, true, 1, true, false},
+    {"other core VM can tell no state", 1, true, 0, true, false},
+    {"source has newer state", 2, true, 1, true, false},
+    {"source has lost the leader", 1, false, 1, false, false},
+    {"source can tell no state", 0, false, 1, false, false},
+    {"other core VM has newer state", 1, true, 2, false, true},
+    {"newer configuration cannot be read", 9, true, 1, false, true},
 };
 
 struct AgeCase {
@@ -189,11 +191,12 @@
   F.core(false).m_Report.m_IsUpToDate = false;
   F.core(false).report();
   F.run(50ms);
-  F.m_ConfirmedAt = {};
+  F.m_ConfirmedAt = TimePoint{};
   F.core(true).m_Report.m_Revision = Row.m_SourceRevision;
   F.core(true).m_Report.m_IsUpToDate = Row.m_SourceIsUpToDate;
   F.core(true).report();
   F.run(50ms);
   cr_assert_eq(F.m_ConfirmedAt > TimePoint{}, Row.m_IsConfirmed, "%s",
                Row.m_Name);
+  cr_assert_eq(!F.m_ConfirmedAt, Row.m_IsOutdated, "%s", Row.m_Name);
 }
--- a/src/ragwortdrift/fleet/entry_control.cpp
+++ b/src/ragwortdrift/fleet/entry_control.cpp
@@ -355,8 +355,9 @@
 void EntryControl::confirmRoutes(const CoreReport &Report) {
   // A core VM whose messages from the leader are late seems up to date, but
   // others then report newer revisions.
-  if (Report.m_IsUpToDate && Report.m_Revision == m_Revision &&
-      m_NewestRevision == m_Revision && !m_ConfigIsUnreadable)
+  if (m_NewestRevision > m_Revision || m_ConfigIsUnreadable)
+    m_Updates.m_RoutesConfirmed(std::nullopt);
+  else if (Report.m_IsUpToDate && Report.m_Revision == m_Revision)
     m_Updates.m_RoutesConfirmed(m_Timers.now());
 }
 
--- a/src/ragwortdrift/fleet/entry_stop_test.cpp
+++ b/src/ragwortdrift/fleet/entry_stop_test.cpp
@@ -48,7 +48,8 @@
                                1,
                                2,
                                {{ServiceName{"one"}, 1}}});
-    m_Traffic->setRoutes(std::make_shared<const RouteTable>(Config));
+    m_Traffic->setRoutes(std::make_shared<const RouteTable>(Config),
+                         TimePoint{});
     ListedLeaf Listed;
     Listed.m_Id = LeafId{"one-1"};
     Listed.m_Service = ServiceName{"one"};
