Give each core VM of a test fleet a port of its own

fleet/relays_list_through_every_core_vm failed once in a run of a trial merge: "The expression isOk(m_Nodes[Index]->start()) is false" at the start of a later core VM.

--- a/src/ragwortdrift/fleet/fleet_fixture.hpp
+++ b/src/ragwortdrift/fleet/fleet_fixture.hpp
@@ -8,6 +8,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <filesystem>
 
 namespace ragwortdrift::testing {
@@ -71,8 +72,12 @@
                ("rd-fleet-" + std::to_string(::getpid()) + "-" +
                 std::to_string(m_ListServer.port()));
     std::filesystem::create_directories(m_Folder);
-    for (std::size_t I = 0; I < InitialVoters + LaterCores; ++I)
-      m_Peers.push_back(freeEndpoint(m_Io));
+    // The system may choose the port of an endpoint that is not yet in use
+    // again.
+    while (m_Peers.size() < InitialVoters + LaterCores)
+      if (const Endpoint Peer = freeEndpoint(m_Io);
+          std::ranges::find(m_Peers, Peer) == m_Peers.end())
+        m_Peers.push_back(Peer);
     m_Nodes.resize(m_Peers.size());
   }
   ~TestFleet() {
