Refuse signatures of leafs that do not fit into a response

An entry VM ended with an exception when the signatures of all shards of a search did not fit into one header field, which holds 65,533 bytes. Beast throws if a value is larger, and nothing catches it. Five leafs with signatures of 14 KB were enough, or 30 with 2.2 KB. A signature may now take an equal share of the field; a response with a larger one counts as unsigned, like one without.

Before, dispatcher/bounds_signatures_of_search: 'Caught an unexpected exception during the test execution: field value too large', and two further rows failed. After: all 5 rows pass.

--- a/src/ragwortdrift/dispatch/active_request.cpp
+++ b/src/ragwortdrift/dispatch/active_request.cpp
@@ -46,6 +46,11 @@
 /// to arrive anyway.
 constexpr double HedgeMinMedians = 2;
 
+/// Largest value of a header field; Beast throws if one is larger.
+constexpr std::size_t MaxFieldBytes = 65'533;
+/// Bytes between two signatures in the response to a search.
+constexpr std::size_t SignatureSeparatorBytes = 2;
+
 /// Parses "running,waiting,slots" and returns the waiting requests per slot.
 std::optional<double> waitingPerSlot(std::string_view Load) {
   unsigned Values[3] = {};
@@ -308,7 +313,12 @@
   if (Response.result_int() == 421 ||
       Response.find(Headers.m_NotExecuted) != Response.end())
     return AttemptOutcome::Refused;
-  const bool IsSigned = Response.find(Headers.m_Signature) != Response.end();
+  // The signatures of all shards have to fit into one field.
+  const auto Signature = Response.find(Headers.m_Signature);
+  const bool IsSigned = Signature != Response.end() &&
+                        (Signature->value().size() + SignatureSeparatorBytes) *
+                                m_SubRequests.size() <=
+                            MaxFieldBytes;
   if (!IsSigned || Response[Headers.m_RequestId] != m_RequestId)
     return AttemptOutcome::Lost;
   return Response.result_int() / 100 == 2 ? AttemptOutcome::Answered
