--- a/src/ragwortdrift/consensus/raft_core_test.cpp
+++ b/src/ragwortdrift/consensus/raft_core_test.cpp
@@ -136,3 +136,33 @@
   cr_assert_eq(Request.m_PrevIndex, 0U);
   cr_assert_eq(Request.m_Entries.size(), 3U);
 }
+
+// Guards against a follower that takes itself for up to date although a new
+// leader does not know yet which entries of earlier terms are committed.
+Test(raft_core, is_not_up_to_date_until_new_leader_commits) {
+  FiveVoterCore Cluster;
+  Cluster.step(1, 3, AppendRequest{2, 2, 2, 1, {}});
+  Cluster.takeAndPersist();
+  cr_assert_eq(Cluster.m_Core.appliedIndex(), 2U);
+  // Entry 3 was committed by voters 1 to 3; voter 2 is elected and knows that
+  // entry 2 is committed.
+  Cluster.step(2, 4, AppendRequest{3, 3, 2, 1, {}});
+  Cluster.takeAndPersist();
+  cr_assert_not(Cluster.m_Core.isUpToDate());
+}
+
+// Guards against a follower that takes itself for up to date while it receives
+// a snapshot, since the leader then tells it no commit index.
+Test(raft_core, is_not_up_to_date_while_it_receives_a_snapshot) {
+  FiveVoterCore Cluster;
+  Cluster.step(1, 3,
+               AppendRequest{2, 2, 2, 1, {{3, 3, EntryKind::Payload, "new"}}});
+  Cluster.step(1, 3, AppendRequest{3, 3, 3, 2, {}});
+  Cluster.takeAndPersist();
+  cr_assert(Cluster.m_Core.isUpToDate());
+  Cluster.step(
+      1, 3,
+      SnapshotChunk{50, 3, Cluster.m_Core.membership(), 100, 0, 3, "part"});
+  Cluster.takeAndPersist();
+  cr_assert_not(Cluster.m_Core.isUpToDate());
+}
--- a/src/ragwortdrift/fleet/config_freshness_test.cpp
+++ b/src/ragwortdrift/fleet/config_freshness_test.cpp
@@ -200,3 +200,80 @@
                Row.m_Name);
   cr_assert_eq(!F.m_ConfirmedAt, Row.m_IsOutdated, "%s", Row.m_Name);
 }
+
+// Guards against a confirmation, and an age of a configuration, that are
+// measured from the receipt of a report that was long under way.
+Test(config_freshness, measures_report_age_from_its_sending) {
+  FreshnessFixture F;
+  F.m_Entry.reset();
+  asio::io_context EntryIo;
+  FleetSettings Settings;
+  Settings.m_Vm = VmId{"late"};
+  Settings.m_ConfigPropagation = 3s;
+  Settings.m_LeafListRate = 1000;
+  Settings.m_LeafList = testing::freeEndpoint(F.m_Io);
+  Settings.m_Cores = {F.m_Cores[0]->m_Address};
+  F.m_Cores[0]->m_Report.m_RevisionAge = 0ms;
+  TimePoint ConfirmedAt, AcceptedAt;
+  EntryUpdates Updates;
+  Updates.m_Routes = [&](const std::shared_ptr<const RouteTable> &,
+                         TimePoint Time) { AcceptedAt = Time; };
+  Updates.m_DomainsOut = [](const std::set<FailureDomain> &) {};
+  Updates.m_Leafs = [](const LeafList &) {};
+  Updates.m_Estimates = [](const std::vector<LeafEstimate> &) {};
+  Updates.m_EntryCount = [](std::size_t) {};
+  Updates.m_RoutesConfirmed = [&](TimePoint Time) { ConfirmedAt = Time; };
+  EntryControl Late(
+      EntryIo, Settings, LeafListFormat{},
+      [](std::string_view Text)
+          -> Result<RouteConfig, std::vector<ConfigError>> {
+        RouteConfig Config;
+        Config.m_Version = std::stoull(std::string(Text));
+        return Config;
+      },
+      std::move(Updates));
+  Late.start();
+  cr_assert(F.runUntil([&] {
+    EntryIo.poll();
+    return ConfirmedAt > TimePoint{};
+  }));
+  for (int I = 0; I < 20; ++I) {
+    F.run(10ms);
+    EntryIo.poll();
+  }
+  // The VM does not read while a report is under way; a later configuration is
+  // accepted elsewhere meanwhile.
+  F.m_Cores[0]->m_Report.m_Revision = 2;
+  const TimePoint SentAt = F.m_Timers.now();
+  F.m_Cores[0]->report();
+  F.run(1200ms);
+  ConfirmedAt = AcceptedAt = {};
+  for (int I = 0; I < 20 && ConfirmedAt == TimePoint{}; ++I) {
+    EntryIo.poll();
+    EntryIo.run_one_for(5ms);
+  }
+  cr_assert(ConfirmedAt > TimePoint{});
+  cr_expect_leq((AcceptedAt - SentAt).count(), 300'000,
+                "accepted after %lld us",
+                static_cast<long long>((AcceptedAt - SentAt).count()));
+  cr_assert_leq((ConfirmedAt - SentAt).count(), 300'000,
+                "confirmed after %lld us",
+                static_cast<long long>((ConfirmedAt - SentAt).count()));
+}
+
+// Guards against a configuration that is held by the age that its source knows,
+// although another core VM reports a higher one after the state has arrived.
+Test(config_freshness, takes_higher_age_after_state) {
+  FreshnessFixture F;
+  FakeCore &Source = F.core(true), &Other = F.core(false);
+  Source.m_Report.m_Revision = Other.m_Report.m_Revision = 2;
+  Source.m_Report.m_RevisionAge = 0ms;
+  Source.report();
+  cr_assert(F.runUntil([&] { return F.m_Version == 2; }));
+  F.m_Age = 0ms;
+  Other.m_SendsState = false;
+  Other.m_Report.m_RevisionAge = 2500ms;
+  Other.report();
+  F.run(50ms);
+  cr_assert_geq(F.m_Age.count(), Duration{2400ms}.count());
+}
