--- a/src/ragwortdrift/consensus/raft_core.cpp
+++ b/src/ragwortdrift/consensus/raft_core.cpp
@@ -171,7 +171,8 @@
   const LogIndex Committed = m_Role == RaftRole::Leader
                                  ? std::max(m_CommitIndex, m_TermStart)
                                  : m_LeaderCommitIndex;
-  return m_Leader && Committed > 0 && m_AppliedIndex >= Committed;
+  return m_Leader && Committed > 0 && m_AppliedIndex >= Committed &&
+         m_Log.termAt(Committed) == m_HardState.m_Term;
 }
 
 std::optional<LeaderHint> RaftCore::leaderHint() const {
--- a/src/ragwortdrift/consensus/raft_snapshot.cpp
+++ b/src/ragwortdrift/consensus/raft_snapshot.cpp
@@ -39,6 +39,7 @@
   if (m_Role != RaftRole::Follower || m_Leader != Msg.m_From)
     becomeFollower(Msg.m_Term, Msg.m_From);
   m_ElectionElapsed = 0;
+  m_LeaderCommitIndex = std::max(m_LeaderCommitIndex, Body.m_Index);
   SnapshotResponse Response{Body.m_Index, 0, false, Body.m_HeartbeatRound};
   if (Body.m_Index <= m_CommitIndex) {
     Response.m_Installed = true;
