Count the age of a configuration from its append to the log

Callers could be served by an older configuration beyond the propagation time: a leader acknowledges a configuration and ends, the next one applies it after its election and reported age 0, so entry VMs held it for longer. Cause: the age was taken from the moment at which a core VM applied the revision. Change: the replicated log knows when it appended an entry, which precedes its commit on each member of the majority, and the age counts from there.

--- a/include/ragwortdrift/consensus/replicated_log.hpp
+++ b/include/ragwortdrift/consensus/replicated_log.hpp
@@ -131,6 +131,10 @@
   void transferLeadership();
 
   ReplicatedLogStatus status() const;
+  /// Time at which this VM appended an entry that it has not applied yet or is
+  /// applying; nothing if it did so before it opened the log, or received the
+  /// entry in a snapshot.
+  std::optional<TimePoint> appendedAt(LogIndex Index) const;
   /// The Raft state machine, for tests and diagnostics.
   const RaftCore &core() const { return *m_Core; }
 
@@ -186,6 +190,7 @@
   LogIndex m_SnapshotIndex = 0;
   std::size_t m_SnapshotSize = 0;
   std::size_t m_BytesSinceSnapshot = 0;
+  std::map<LogIndex, TimePoint> m_AppendedAt;
   std::map<LogIndex, PendingProposal> m_PendingProposals;
   std::map<std::uint64_t, ProposeCallback> m_PendingReads;
   std::uint64_t m_LastReadToken = 0;
--- a/include/ragwortdrift/consensus/replicated_log_impl.hpp
+++ b/include/ragwortdrift/consensus/replicated_log_impl.hpp
@@ -182,6 +182,8 @@
   if (Output.m_SnapshotToInstall &&
       !isOk(m_Store.saveSnapshot(*Output.m_SnapshotToInstall, m_HardState, {})))
     return false;
+  for (const LogEntry &Entry : Output.m_Entries)
+    m_AppendedAt[Entry.m_Index] = m_Timers.now();
   if (!Output.m_HardState && Output.m_Entries.empty())
     return true;
   return isOk(m_Store.write(Output.m_HardState, Output.m_Entries));
@@ -204,6 +206,16 @@
           ProposeError{ProposeErrorCode::LostLeadership, m_Core->leaderHint()});
     m_PendingProposals.erase(It);
   }
+  m_AppendedAt.erase(m_AppendedAt.begin(),
+                     m_AppendedAt.upper_bound(m_Core->appliedIndex()));
+}
+
+template <FileOps Files>
+std::optional<TimePoint>
+BasicReplicatedLog<Files>::appendedAt(LogIndex Index) const {
+  const auto Position = m_AppendedAt.find(Index);
+  return Position == m_AppendedAt.end() ? std::nullopt
+                                        : std::optional(Position->second);
 }
 
 template <FileOps Files>
--- a/include/ragwortdrift/fleet/core_node.hpp
+++ b/include/ragwortdrift/fleet/core_node.hpp
@@ -154,8 +154,9 @@
   std::unique_ptr<ReplicatedLog> m_Log;
   RoutingState m_State;
   StateUpdates m_StateUpdates;
-  /// Time at which m_State was applied; absent if it was catching up.
-  std::optional<TimePoint> m_StateAppliedAt;
+  /// Time at which the command that led to m_State was appended to the log
+  /// here, before it could be acknowledged; absent if this VM was catching up.
+  std::optional<TimePoint> m_StateAppendedAt;
   std::map<LogIndex, RoutingCommandOutcome> m_AppliedOutcomes;
   std::map<VmId, TimePoint> m_PeerLastContactAt;
   std::set<std::string> m_OtherCoreAddresses;
--- a/include/ragwortdrift/fleet/messages.hpp
+++ b/include/ragwortdrift/fleet/messages.hpp
@@ -91,8 +91,9 @@
   /// True if the core VM is in contact with the leader and has applied all that
   /// it knows to be committed.
   bool m_IsUpToDate = false;
-  /// Time since the core VM applied this revision; absent if it had applied it
-  /// before a restart or while it was catching up.
+  /// Time since the core VM appended this revision to its log, which precedes
+  /// its acknowledgement; absent if that was before a restart or while the VM
+  /// was catching up.
   std::optional<Duration> m_RevisionAge;
   ListVersion m_ListVersion;
   /// Time since the list was read; absent if no recent list is known.
--- a/src/ragwortdrift/fleet/core_membership.cpp
+++ b/src/ragwortdrift/fleet/core_membership.cpp
@@ -220,8 +220,8 @@
   if (canServeState()) {
     Report.m_Revision = m_State.m_Revision;
     Report.m_IsUpToDate = m_Log && m_Log->status().m_IsUpToDate;
-    if (m_StateAppliedAt)
-      Report.m_RevisionAge = m_Timers.now() - *m_StateAppliedAt;
+    if (m_StateAppendedAt)
+      Report.m_RevisionAge = m_Timers.now() - *m_StateAppendedAt;
   }
   if (isListFresh() && m_ListVersion != ListVersion{}) {
     Report.m_ListVersion = m_ListVersion;
--- a/src/ragwortdrift/fleet/core_node.cpp
+++ b/src/ragwortdrift/fleet/core_node.cpp
@@ -120,7 +120,7 @@
   };
   m_State = {};
   m_StateUpdates.clear();
-  m_StateAppliedAt.reset();
+  m_StateAppendedAt.reset();
   m_CanServeState = false;
   m_Log = std::make_unique<ReplicatedLog>(
       std::move(Options), PosixFiles(m_Settings.m_Folder->string()), m_Timers,
@@ -188,9 +188,9 @@
   if (Outcome != RoutingCommandOutcome::Accepted)
     return;
   m_StateUpdates.record(m_State);
-  m_StateAppliedAt.reset();
+  m_StateAppendedAt.reset();
   if (m_CanServeState)
-    m_StateAppliedAt = m_Timers.now();
+    m_StateAppendedAt = m_Log->appendedAt(Index);
   scheduleReports();
 }
 
@@ -204,7 +204,7 @@
   }
   m_State = valueOf(std::move(Snapshot));
   m_StateUpdates.record(m_State);
-  m_StateAppliedAt.reset();
+  m_StateAppendedAt.reset();
   scheduleReports();
 }
 
