--- a/src/ragwortdrift/fleet/config_freshness_test.cpp
+++ b/src/ragwortdrift/fleet/config_freshness_test.cpp
@@ -222,7 +222,9 @@
   Updates.m_Leafs = [](const LeafList &) {};
   Updates.m_Estimates = [](const std::vector<LeafEstimate> &) {};
   Updates.m_EntryCount = [](std::size_t) {};
-  Updates.m_RoutesConfirmed = [&](TimePoint Time) { ConfirmedAt = Time; };
+  Updates.m_RoutesConfirmed = [&](std::optional<TimePoint> Time) {
+    ConfirmedAt = Time.value_or(TimePoint{});
+  };
   EntryControl Late(
       EntryIo, Settings, LeafListFormat{},
       [](std::string_view Text)
