Refuse commands by one limit at every core VM, and accept up to 960 KiB

Callers saw nothing; an operator whose configuration was too large got 413 from the leader and 503 no_leader from any other core VM, and sent it again without end. Cause: a peer message of more than 1 MiB counted as not sent and was tried four times; no core VM checked the size itself. Evidence: large_command/follower_refuses_it_as_too_large failed before (no_leader). Change: each core VM refuses what the log will not take, and the log takes 960 KiB, which leaves room for framing in a peer message.

--- a/src/ragwortdrift/fleet/core_node.cpp
+++ b/src/ragwortdrift/fleet/core_node.cpp
@@ -39,6 +39,9 @@
 /// size of the log on small disks.
 constexpr LogIndex SnapshotEntries = 100;
 constexpr LogIndex TrailingEntries = 20;
+/// Maximum size of a command. Leaves room for framing within a peer message of
+/// 1 MiB, in which commands and states travel.
+constexpr std::size_t MaxCommandBytes = std::size_t{960} << 10;
 /// Bounds on the log in memory and on disk for configurations of any size.
 constexpr std::size_t SnapshotBytes = std::size_t{4} << 20;
 constexpr std::size_t TrailingBytes = std::size_t{2} << 20;
@@ -99,6 +102,7 @@
   Options.m_Seed = stableHash(m_Address, std::random_device{}());
   Options.m_FirstElectionTimeoutMax = FirstElectionTimeoutMax;
   Options.m_SnapshotEntries = SnapshotEntries;
+  Options.m_MaxPayloadBytes = MaxCommandBytes;
   Options.m_SnapshotBytes = SnapshotBytes;
   Options.m_TrailingEntries = TrailingEntries;
   Options.m_TrailingBytes = TrailingBytes;
@@ -291,11 +295,12 @@
     commitCommand(Command, std::move(Callback));
     return;
   }
+  auto Bytes = std::make_shared<const std::string>(
+      encode(CommandRequest{std::move(Command)}));
+  if (Bytes->size() > MaxCommandBytes)
+    return Callback(CoreError{CoreErrorCode::TooLarge, {}});
   forwardToLeader<CommandReply, RoutingCommandOutcome>(
-      "/order",
-      std::make_shared<const std::string>(
-          encode(CommandRequest{std::move(Command)})),
-      MaxForwardAttempts, std::move(Callback));
+      "/order", std::move(Bytes), MaxForwardAttempts, std::move(Callback));
 }
 
 void CoreNode::commitCommand(const RoutingCommand &Command,
--- a/src/ragwortdrift/fleet/large_command_test.cpp
+++ b/src/ragwortdrift/fleet/large_command_test.cpp
@@ -17,3 +17,20 @@
   cr_assert_eq(errorOf(Outcome).m_Code, CoreErrorCode::TooLarge, "%s",
                std::string(nameOf(errorOf(Outcome).m_Code)).c_str());
 }
+
+// Guards against a configuration that is refused, or accepted and never sent to
+// entry VMs, because of its size.
+Test(large_command, reaches_entry_vms) {
+  TestFleet Fleet(3);
+  Fleet.startInitialVoters();
+  TestEntry Entry(Fleet);
+  for (std::uint64_t Version = 1; Version <= 3; ++Version)
+    cr_assert_eq(Fleet.submitUntilDecided(
+                     Version % 3,
+                     TestFleet::config(Version, std::to_string(Version) + " " +
+                                                    std::string(950'000, 'x'))),
+                 RoutingCommandOutcome::Accepted);
+  cr_assert(Fleet.runUntil([&] {
+    return !Entry.m_Versions.empty() && Entry.m_Versions.back() == 3;
+  }));
+}
