Send a search once more after all its leafs have lost connections

Callers of a search with few shards got 502 when each shard's first leaf had lost its connection by chance: found by the existing end-to-end test, which failed in some runs since a search that loses connections is stopped (serves_callers_while_leafs_fail: "closed connection: 29 of 30"; request.failed ... parts=2 answered=0 sends=2).

Such a search is now sent to one more leaf alone; an answer sends the rest.

--- a/include/ragwortdrift/dispatch/active_request.hpp
+++ b/include/ragwortdrift/dispatch/active_request.hpp
@@ -185,6 +185,8 @@
   bool m_IsTrial = false;
   /// Attempts whose connection ended before any answer.
   unsigned m_LostConnections = 0;
+  /// Their number when all attempts of a search had ended without an answer.
+  std::optional<unsigned> m_LossesBeforeResume;
   unsigned m_Hedges = 0;
   TimerService::Subscription m_Timer;
   /// Keeps the request alive until it is finished, even while no attempt is
--- a/src/ragwortdrift/dispatch/active_request_containment.cpp
+++ b/src/ragwortdrift/dispatch/active_request_containment.cpp
@@ -4,14 +4,6 @@
 
 namespace ragwortdrift {
 
-namespace {
-
-/// Connections that a search may lose before any answer until it is not sent
-/// again. A single one may be an answer lost by chance.
-constexpr unsigned MaxLostConnections = 2;
-
-} // namespace
-
 bool ActiveRequest::mayStart() const {
   if (m_LeafAnswered)
     return true;
@@ -83,8 +75,14 @@
                   [&](const SubRequest &Item) { return hasOpenAttempt(Item); });
   if (mayStart() || HasOpenAttempt || m_AvailableIn)
     return;
-  const unsigned MaxLost =
-      m_IsTrial || m_Route.m_Kind != RouteKind::Search ? 1 : MaxLostConnections;
+  // Leafs may have lost connections for another reason, so a search is sent
+  // once more, to a single leaf.
+  bool MayResume = m_LostConnections == 0;
+  if (!m_IsTrial && m_Route.m_Kind == RouteKind::Search) {
+    if (!m_LossesBeforeResume)
+      m_LossesBeforeResume = m_LostConnections;
+    MayResume = m_LostConnections == *m_LossesBeforeResume;
+  }
   // Trials start with different shards, so that they do not all crash leafs of
   // the same one.
   const std::size_t First = m_Owner.m_Engine() % m_SubRequests.size();
@@ -93,7 +91,7 @@
     SubRequest &Sub = m_SubRequests[I];
     if (!Sub.isOpen())
       continue;
-    if (m_LostConnections < MaxLost && canRetry(Sub)) {
+    if (MayResume && canRetry(Sub)) {
       if (!Sub.m_RetryAt)
         send(I);
       if (Sub.isOpen())
