Shorten the hold of a configuration that turns out to be older

Callers could be served by an older configuration beyond the propagation time, if the source of an entry VM had appended a revision late: an earlier time that another core VM reported after the state had arrived was ignored. Change: the traffic side is told the earlier time, which shortens the hold.

--- a/include/ragwortdrift/dispatch/config_switch.hpp
+++ b/include/ragwortdrift/dispatch/config_switch.hpp
@@ -32,7 +32,8 @@
   explicit ConfigSwitch(Duration MaxDelay) : m_MaxDelay(MaxDelay) {}
 
   /// Receives a configuration that had been accepted by a given time. Ignored
-  /// unless its version is newer than those received before.
+  /// unless its version is newer than those received before; an earlier time
+  /// for the one that is held shortens the hold.
   void receive(Routes Next, TimePoint AcceptedAt);
   /// Applies the received configuration if it is due. Returns true if the
   /// configuration in force has changed.
--- a/include/ragwortdrift/fleet/entry_control.hpp
+++ b/include/ragwortdrift/fleet/entry_control.hpp
@@ -20,7 +20,8 @@
 /// Callbacks by which the control state of an entry VM updates its traffic
 /// side. Called on the control thread.
 struct EntryUpdates {
-  /// Called with a configuration and a time by which it had been accepted.
+  /// Called with a configuration and a time by which it had been accepted, and
+  /// again if that time turns out to be earlier.
   std::function<void(std::shared_ptr<const RouteTable>, TimePoint)> m_Routes;
   std::function<void(std::set<FailureDomain>)> m_DomainsOut;
   std::function<void(LeafList)> m_Leafs;
@@ -92,6 +93,9 @@
   /// Returns a time by which a revision after the local one, up to a given one,
   /// had been accepted.
   TimePoint acceptanceTime(std::uint64_t Revision) const;
+  /// Tells the traffic side if the local configuration had been accepted
+  /// earlier than was known.
+  void updateAcceptanceTime(const CoreReport &Report);
   /// Confirms the local configuration if the report shows that there is no
   /// newer one, and revokes that if there is.
   void confirmRoutes(const CoreReport &Report);
@@ -124,6 +128,8 @@
   /// Highest revision that any core VM has reported.
   std::uint64_t m_NewestRevision = 0;
   std::uint64_t m_ConfigVersion = 0;
+  std::shared_ptr<const RouteTable> m_Routes;
+  TimePoint m_RoutesAcceptedAt;
   bool m_ConfigIsUnreadable = false;
   std::size_t m_EntryCount = 1;
   ListVersion m_ListVersion;
--- a/src/ragwortdrift/dispatch/config_switch.cpp
+++ b/src/ragwortdrift/dispatch/config_switch.cpp
@@ -32,6 +32,8 @@
 }
 
 void ConfigSwitch::receive(Routes Next, TimePoint AcceptedAt) {
+  if (m_Held && Next->config().m_Version == m_Held->config().m_Version)
+    m_HeldUntil = std::min(m_HeldUntil, AcceptedAt + m_MaxDelay);
   const Routes &Newest = m_Held ? m_Held : m_Current;
   if (Newest && Next->config().m_Version <= Newest->config().m_Version)
     return;
--- a/src/ragwortdrift/dispatch/config_switch_test.cpp
+++ b/src/ragwortdrift/dispatch/config_switch_test.cpp
@@ -179,3 +179,17 @@
   cr_assert(Switch.apply(Now, IsReady));
   cr_assert_eq(Switch.current()->config().m_Version, 3U);
 }
+
+// Guards against a hold that is not shortened when its configuration turns out
+// to be older.
+Test(config_switch, applies_held_config_that_is_older_than_known) {
+  ConfigSwitch Switch(MaxDelay);
+  const ServiceReadyQuery IsReady = readyServices({"a"});
+  Switch.receive(routes(1, {searchRoute({"a"})}), TimePoint{});
+  cr_assert(Switch.apply(TimePoint{}, IsReady));
+  const TimePoint Now = TimePoint{} + 10s;
+  Switch.receive(routes(2, {searchRoute({"b"})}), Now);
+  cr_assert_not(Switch.apply(Now, IsReady));
+  Switch.receive(routes(2, {searchRoute({"b"})}), Now - MaxDelay);
+  cr_assert(Switch.apply(Now, IsReady));
+}
--- a/src/ragwortdrift/fleet/entry_control.cpp
+++ b/src/ragwortdrift/fleet/entry_control.cpp
@@ -43,6 +43,10 @@
 /// directly; the rest is reserved for the leader, its regular reader.
 constexpr double DirectReadRateShare = 0.5;
 
+/// Core VMs append a revision at slightly different times, within a message
+/// between them.
+constexpr std::chrono::milliseconds AcceptanceTimeTolerance{50};
+
 } // namespace
 
 EntryControl::EntryControl(boost::asio::io_context &Io, FleetSettings Settings,
@@ -227,6 +231,7 @@
   m_NewestRevision = std::max(m_NewestRevision, Report.m_Revision);
   recordNewerRevision(Report);
   takeUpdates(Sender, CoreWatch);
+  updateAcceptanceTime(Report);
   confirmRoutes(Report);
   if (Report.m_Estimates)
     m_Updates.m_Estimates(std::move(*Report.m_Estimates));
@@ -327,9 +332,9 @@
     return;
   }
   m_ConfigVersion = State.m_Config.m_Version;
-  m_Updates.m_Routes(
-      std::make_shared<const RouteTable>(valueOf(std::move(Config))),
-      AcceptedAt);
+  m_Routes = std::make_shared<const RouteTable>(valueOf(std::move(Config)));
+  m_RoutesAcceptedAt = AcceptedAt;
+  m_Updates.m_Routes(m_Routes, AcceptedAt);
 }
 
 void EntryControl::recordNewerRevision(const CoreReport &Report) {
@@ -352,6 +357,16 @@
   return Earliest;
 }
 
+void EntryControl::updateAcceptanceTime(const CoreReport &Report) {
+  if (!m_Routes || Report.m_Revision != m_Revision || !Report.m_RevisionAge)
+    return;
+  const TimePoint AcceptedAt = m_Timers.now() - *Report.m_RevisionAge;
+  if (m_RoutesAcceptedAt - AcceptedAt < AcceptanceTimeTolerance)
+    return;
+  m_RoutesAcceptedAt = AcceptedAt;
+  m_Updates.m_Routes(m_Routes, AcceptedAt);
+}
+
 void EntryControl::confirmRoutes(const CoreReport &Report) {
   // A core VM whose messages from the leader are late seems up to date, but
   // others then report newer revisions.
