--- a/src/ragwortdrift/routing/text_delta_test.cpp
+++ b/src/ragwortdrift/routing/text_delta_test.cpp
@@ -18,7 +18,7 @@
     Routes.push_back(R"({"name": "route-)" + std::to_string(I) +
                      R"(", "host": "www.example", "prefix": "/p/)" +
                      std::to_string(I * 7919 % 10007) +
-                     R"(/", "services": ["search"], "timeout_ms": 500}, )");
+                     R"(/", "services": ["search"], "time_limit": 500}, )");
   return Routes;
 }
 
@@ -66,7 +66,7 @@
     {"ten values", routesText,
      [](std::string &Text) {
        for (std::size_t I = 0; I < 10; ++I)
-         Text.replace(Text.find("timeout_ms", 30'000 * (I + 1)) + 13, 2, "71");
+         Text.replace(Text.find("time_limit", 30'000 * (I + 1)) + 13, 2, "71");
      },
      1024},
     {"routes in reverse order", routesText,
