--- a/src/ragwortdrift/fleet/full_disk_test.cpp
+++ b/src/ragwortdrift/fleet/full_disk_test.cpp
@@ -2,6 +2,7 @@
 #include "ragwortdrift/testing/loopback.hpp"
 #include "ragwortdrift/testing/table.hpp"
 
+#include <algorithm>
 #include <cstdarg>
 #include <fcntl.h>
 #include <filesystem>
@@ -99,8 +100,12 @@
   DiskFleet(std::size_t Voters, std::size_t Spares) : m_Voters(Voters) {
     m_Folder = std::filesystem::temp_directory_path() /
                ("rd-disk-" + std::to_string(::getpid()));
-    for (std::size_t I = 0; I < Voters + Spares; ++I)
-      m_Peers.push_back(testing::freeEndpoint(m_Io));
+    // The system may choose the port of an endpoint that is not yet in use
+    // again.
+    while (m_Peers.size() < Voters + Spares)
+      if (const Endpoint Peer = testing::freeEndpoint(m_Io);
+          std::ranges::find(m_Peers, Peer) == m_Peers.end())
+        m_Peers.push_back(Peer);
     m_Nodes.resize(m_Peers.size());
     for (std::size_t I = 0; I < m_Peers.size(); ++I)
       cr_assert(start(I));
