--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -150,6 +150,7 @@
 
     def __init__(self, ip, leafs):
         self.ip, self.leafs = ip, leafs
+        self.foreign = []  # bytes of entries that come from another writer
 
     async def start(self):
         await asyncio.start_server(self.serve, self.ip, LIST_PORT)
@@ -158,7 +159,8 @@
         try:
             while True:
                 await read_message(reader)
-                body = json.dumps({"instances": [leaf.entry() for leaf in self.leafs], "next_token": None}).encode()
+                entries = [json.dumps(leaf.entry()).encode() for leaf in self.leafs] + self.foreign
+                body = b'{"instances":[' + b",".join(entries) + b'],"next_token":null}'
                 writer.write(message("HTTP/1.1 200 OK", {"Content-Type": "application/json"}, body))
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -180,7 +182,7 @@
         folder.mkdir(exist_ok=True)
         fields = {"node_name": self.name, "zone": self.zone, "ip": self.ip,
                   "internal_port_range.0": PEER_PORT,
-                  "seed_nodes": ",".join(f"{core.ip}:{CONTROL_PORT}" for core in self.deployment.cores[:3]),
+                  "seed_nodes": ",".join(f"{core.ip}:{CONTROL_PORT}" for core in self.deployment.seeds()),
                   "cloud_api.address": f"{self.deployment.list_ip}:{LIST_PORT}", "cloud_api.rate_per_s": 49.0,
                   "bootstrap": "true" if self.bootstrap else "false"}
         if self.role == "entry":
@@ -217,6 +219,7 @@
         self.network = self.free_network()
         self.next_host = 1
         self.list_ip = self.new_ip()
+        self.gone = []
         self.leafs = []
         manifest = (ROOT / "deploy/system.toml").read_text(encoding="utf-8")
         self.commands = {role: re.search(rf'\[roles\.{role}\][^\[]*?run = "([^"]+)"', manifest).group(1)
@@ -249,8 +252,24 @@
         self.next_host += 1
         return f"{self.network}.{self.next_host}"
 
+    def seeds(self):
+        """Three core VMs of the operator's list, which new processes learn from their settings."""
+        return self.cores[:3]
+
+    def replace(self, core):
+        """A core VM is gone for good; an empty one with the same roles takes its place at another address."""
+        core.send(signal.SIGKILL)
+        core.process.wait()
+        self.cores.remove(core)
+        self.gone.append(core)
+        new = Vm(self, f"core-{len(self.cores) + len(self.gone)}", "core", self.new_ip(), core.zone)
+        new.bootstrap = False
+        self.cores.append(new)
+        return new
+
     async def start(self):
-        await ListServer(self.list_ip, self.leafs).start()
+        self.list = ListServer(self.list_ip, self.leafs)
+        await self.list.start()
         for leaf in self.leafs:
             await leaf.start()
         for vm in self.cores + self.entries:
