--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,17 +1,14 @@
-"""One entry of the platform's list that cannot be read, and a final fault that kills all processes."""
+"""An order of the operator that a frozen core VM executes after a later one was acknowledged."""
 
 import asyncio
 import json
 import signal
 
-from standins import CONTACT_S, TROUBLE, CannotRun, Client, Leaf, Operator, main
+from standins import CONTACT_S, EVACUATE_S, TROUBLE, CannotRun, Client, Leaf, Operator, main
 
-HOST, SERVICE = "hufi27.example", "kafi81c"
-REQUESTS_PER_S = 45
-DOWN_S, RECOVERY_S, WATCH_S = 1.0, 12.0, 15.0
-# An entry of another writer: its id is not UTF-8, and everything else of it is in order.
-UNREADABLE = (b'{"id":"i-\xff\xfe","service":"kafi81c","address":"127.0.0.9:8080","zone":"fen-north","version":"v1",'
-              b'"max_concurrency":6,"state":"ready","warmup_left_ms":0}')
+HOST, SERVICE, ZONE = "leno12.example", "kafi81c", "fen-north"
+FREEZE_S = 7.0
+WATCH_S = 12.0
 
 CONFIG = {
     "version": 7,
@@ -23,55 +20,57 @@
                "idle_timeout_ms": 15000}}
 
 
-async def keep_sending(client, delay, interval, sent):
-    loop = asyncio.get_running_loop()
-    await asyncio.sleep(delay)
+async def keep_sending(client):
     while True:
-        begin = loop.time()
-        sent_at = client.record.now()
-        attempt, status, _ = await client.request("GET", HOST, "/goka902/2f", 2000)
-        sent.append((sent_at, status))
-        await asyncio.sleep(max(0.0, begin + interval - loop.time()))
+        await client.request("GET", HOST, "/goka902/2f", 2000)
+        await asyncio.sleep(0.1)
 
 
 async def case(deployment, record):
     for zone in deployment.zones:
-        deployment.leafs.append(Leaf(record, f"i-{zone}", SERVICE, deployment.new_ip(), zone, work_ms=90))
+        for number in range(2):
+            deployment.leafs.append(Leaf(record, f"i-{zone}-{number}", SERVICE, deployment.new_ip(), zone))
     await deployment.start()
-    if not await Operator(deployment).order("/config/replace", json.dumps(CONFIG).encode(), limit=15):
+    operator = Operator(deployment)
+    if not await operator.order("/config/replace", json.dumps(CONFIG).encode(), limit=15):
         raise CannotRun("the first configuration is not acknowledged")
     await deployment.wait_ready()
-    sent = []
-    clients = [Client(record, entry, f"{entry.name}-{number}") for entry in deployment.entries for number in range(6)]
-    load = [asyncio.create_task(keep_sending(client, number / REQUESTS_PER_S, len(clients) / REQUESTS_PER_S, sent))
-            for number, client in enumerate(clients)]
-    await asyncio.sleep(CONTACT_S + 2)
+    clients = [Client(record, entry, f"{entry.name}-{number}") for entry in deployment.entries for number in range(3)]
+    load = [asyncio.create_task(keep_sending(client)) for client in clients]
+    await asyncio.sleep(CONTACT_S)
+
+    # The zone is evacuated, taken back and evacuated again.
+    if not await operator.order(f"/evacuations/{ZONE}/start"):
+        raise CannotRun("the evacuation is not acknowledged")
+    await asyncio.sleep(1)
+    leader = await deployment.leader()
+    frozen = next(core for core in deployment.cores if core is not leader)
+    frozen_at = record.now()
+    if TROUBLE:
+        frozen.send(signal.SIGSTOP)
+    await asyncio.sleep(2.5)
+    if not await operator.order(f"/evacuations/{ZONE}/finish", first=frozen):
+        raise CannotRun("the end of the evacuation is not acknowledged")
+    await asyncio.sleep(1)
+    others = [core for core in deployment.cores if core is not frozen]
+    acknowledged_at = await operator.order(f"/evacuations/{ZONE}/start", first=others[0])
+    if not acknowledged_at:
+        raise CannotRun("the second evacuation is not acknowledged")
+    await asyncio.sleep(max(0.0, frozen_at + FREEZE_S - record.now()))
     if TROUBLE:
-        deployment.list.foreign.append(UNREADABLE)
-        record("the platform's list gets an entry of another writer")
-    await asyncio.sleep(4)
-    fault_at = record.now()
-    for vm in deployment.cores + deployment.entries:
-        vm.send(signal.SIGKILL)
-        vm.process.wait()
-        vm.bootstrap = False
-    await asyncio.sleep(DOWN_S)
-    for vm in deployment.cores + deployment.entries:
-        vm.start()
-    back_at = record.now()
-    await asyncio.sleep(RECOVERY_S + WATCH_S)
+        frozen.send(signal.SIGCONT)
+    # All machines are in touch CONTACT_S after the core VM runs again.
+    counted_from = max(record.now() + CONTACT_S, acknowledged_at + EVACUATE_S)
+    record(f"requests to leafs of {ZONE} count from {counted_from:.3f} on")
+    await asyncio.sleep(counted_from + WATCH_S - record.now())
     for task in load:
         task.cancel()
-
-    def share(items):
-        return sum(status is not None and 200 <= status < 300 for _, status in items) / max(1, len(items))
-
-    before = share([item for item in sent if item[0] < fault_at])
-    after = [item for item in sent if item[0] > back_at + RECOVERY_S]
-    if before < 0.25 or len(after) < 100:
-        raise CannotRun(f"{before:.2f} served before the final fault, {len(after)} requests sent after it")
-    return share(after) < 0.25, (f"{before:.2f} of the requests were served before the final fault; of {len(after)} "
-                                 f"sent later than {RECOVERY_S:g} s after the machines were back, {share(after):.2f}")
+    served = sum(status == 200 for client in clients for status in client.answers.values())
+    if served < 100:
+        raise CannotRun(f"only {served} requests were served")
+    late = [run for leaf in deployment.leafs if leaf.zone == ZONE for run in leaf.runs if run[0] > counted_from]
+    return bool(late), (f"{len(late)} requests ran on leafs of {ZONE} more than {EVACUATE_S:g} s after its "
+                        f"evacuation was acknowledged at {acknowledged_at:.3f}, which was never taken back")
 
 
 main(case)
