--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,25 +2,14 @@
 
 import asyncio
 import collections
-import json
 import zlib
 
-from standins import CONTACT_S, ID, TROUBLE, CannotRun, Client, Leaf, Operator, main
+from standins import ID, REQUESTS_PER_S, TROUBLE, CannotRun, Leaf, config, main
 
-HOST, SERVICE = "hufi27.example", "kafi81c"  # platboard of railrover-hire: 4 leafs, one in each zone
-REQUESTS_PER_S = 45  # bookfetch of railrover-hire
 GARBLED_ANSWERS = 0.04  # of the answers of a leaf
-REFUSED_ATTEMPTS = 0.02
-WINDOWS, WINDOW_S, PAUSE_S = 4, 5.0, 4.0
-
-CONFIG = {
-    "version": 7,
-    "routes": [{"name": "r-1", "host": HOST, "path_prefix": "/goka902/", "type": "non_idempotent",
-                "timeout_ms": 2000, "slo_ms": 400, "priority": 2, "service": SERVICE, "max_attempts": 2}],
-    "services": [{"name": SERVICE, "health_path": "/healthz", "max_connections": 52, "protocol": "h1", "tls": False,
-                  "warmup_s": 3.0, "warmup_per_s": 0.0}],
-    "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
-               "idle_timeout_ms": 15000}}
+SHED_REQUESTS = 0.04  # whose first arrival at each leaf is shed
+WINDOWS, WINDOW_S, PAUSE_S = 9, 5.0, 4.0
+CLIENTS = 24
 
 
 class Trouble:
@@ -31,19 +20,19 @@
 class GreyLeaf(Leaf):
     """While the disruption lasts, it sheds the first arrival of some requests; it may send an extra response late."""
 
-    def __init__(self, *arguments, garbles, **options):
+    garbles = False
+
+    def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
-        self.garbles = garbles
         self.shed = set()
         self.answers = self.extras = 0
 
     def sheds(self, attempt):
         return (Trouble.active and attempt not in self.shed and
-                zlib.crc32(attempt.encode()) % 1000 < 1000 * REFUSED_ATTEMPTS)
+                zlib.crc32(attempt.encode()) % 1000 < 1000 * SHED_REQUESTS)
 
     async def serve(self, reader, writer):
-        late = collections.deque()  # extra responses that this connection still gets
-        writer.late = late
+        writer.late = collections.deque()  # extra responses that this connection still gets
         await super().serve(reader, writer)
 
     async def answer(self, writer, first, headers, body):
@@ -53,8 +42,7 @@
                         f"{headers.get(ID, 'a health check')}")
             writer.write(extra)
         attempt = headers.get(ID)
-        if attempt:
-            self.answers += Trouble.active
+        self.answers += Trouble.active and attempt is not None
         if not attempt or not self.sheds(attempt):
             await super().answer(writer, first, headers, body)
             return
@@ -66,28 +54,13 @@
             writer.late.append((attempt, refusal))
 
 
-async def keep_sending(client, delay, interval):
-    await asyncio.sleep(delay)
-    while True:
-        begin = asyncio.get_running_loop().time()
-        await client.request("POST", HOST, "/goka902/2f", 2000, b"dock=3")
-        await asyncio.sleep(max(0.0, begin + interval - asyncio.get_running_loop().time()))
-
-
 async def case(deployment, record):
-    for number, zone in enumerate(deployment.zones):
-        deployment.leafs.append(GreyLeaf(record, f"i-{zone}", SERVICE, deployment.new_ip(), zone, work_ms=90,
-                                         garbles=number % 2 == 0))
-    await deployment.start()
-    if not await Operator(deployment).order("/config/replace", json.dumps(CONFIG).encode(), limit=15):
-        raise CannotRun("the first configuration is not acknowledged")
-    await deployment.wait_ready()
-    per_entry = 6
-    clients = [Client(record, entry, f"{entry.name}-{number}")
-               for entry in deployment.entries for number in range(per_entry)]
-    load = [asyncio.create_task(keep_sending(client, number / REQUESTS_PER_S, len(clients) / REQUESTS_PER_S))
-            for number, client in enumerate(clients)]
-    await asyncio.sleep(max(CONTACT_S, 10.0))
+    deployment.add_leafs(leaf_class=GreyLeaf)  # platboard of railrover-hire: four leafs, one in each zone
+    for leaf in deployment.leafs[::2]:
+        leaf.garbles = True
+    await deployment.start(config(7, "non_idempotent"))
+    load = deployment.start_load(CLIENTS, CLIENTS / REQUESTS_PER_S, "POST")
+    await asyncio.sleep(10)
     for _ in range(WINDOWS):
         Trouble.active = TROUBLE
         record(f"the disruption {'begins' if TROUBLE else 'is left out'}")
@@ -98,7 +71,7 @@
     for task in load:
         task.cancel()
     await asyncio.sleep(0.5)
-    answers = {attempt: status for client in clients for attempt, status in client.answers.items()}
+    answers = deployment.answers()
     if sum(status == 200 for status in answers.values()) < 500:
         raise CannotRun("too few requests were served")
     for leaf in deployment.leafs:
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -29,7 +29,23 @@
 # Bounds of railrover-hire on the users' pages (SYSTEM.md).
 BOUNDS = {"retry_budget_ratio": 0.2, "retry_window_s": 10, "budget_slack": 58, "config_propagation_ms": 3000,
           "grace_s": 6}
-CONTACT_S, EVACUATE_S, ACK_S = 4.0, 5.0, 5.0
+CONTACT_S, EVACUATE_S, ACK_S, CATCH_UP_S, RECOVERY_S = 4.0, 5.0, 5.0, 4.0, 12.0
+
+HOST, SERVICE, PATH = "hufi27.example", "kafi81c", "/goka902/2f"
+# bookfetch of railrover-hire.
+REQUESTS_PER_S, WORK_MS, TIMEOUT_MS = 45, 90, 2000
+
+
+def config(version, kind="idempotent", idle_timeout_ms=15000):
+    """A configuration with one route to one service, as the operator sends it."""
+    return json.dumps({
+        "version": version,
+        "routes": [{"name": "r-1", "host": HOST, "path_prefix": "/goka902/", "type": kind, "timeout_ms": TIMEOUT_MS,
+                    "slo_ms": 400, "priority": 2, "service": SERVICE, "max_attempts": 2}],
+        "services": [{"name": SERVICE, "health_path": "/healthz", "max_connections": 52, "protocol": "h1",
+                      "tls": False, "warmup_s": 3.0, "warmup_per_s": 0.0}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
+                   "idle_timeout_ms": idle_timeout_ms}}).encode()
 
 
 class CannotRun(Exception):
@@ -85,8 +101,8 @@
 class Leaf:
     """A leaf that behaves as PROTOCOL.md says; subclasses add the disruption of a case."""
 
-    def __init__(self, record, leaf_id, service, ip, zone, work_ms=5.0, slots=6):
-        self.record, self.id, self.service, self.ip, self.zone = record, leaf_id, service, ip, zone
+    def __init__(self, record, leaf_id, ip, zone, work_ms=WORK_MS, slots=6):
+        self.record, self.id, self.ip, self.zone = record, leaf_id, ip, zone
         self.work_ms, self.slots = work_ms, slots
         self.running = 0
         self.runs = []  # (time, attempt id)
@@ -96,7 +112,7 @@
         self.server = await asyncio.start_server(self.serve, self.ip, LEAF_PORT)
 
     def entry(self):
-        return {"id": self.id, "service": self.service, "address": f"{self.ip}:{LEAF_PORT}", "zone": self.zone,
+        return {"id": self.id, "service": SERVICE, "address": f"{self.ip}:{LEAF_PORT}", "zone": self.zone,
                 "version": "v1", "max_concurrency": self.slots, "state": "ready", "warmup_left_ms": 0}
 
     def refusal(self, status, attempt):
@@ -220,6 +236,7 @@
         self.next_host = 1
         self.list_ip = self.new_ip()
         self.gone = []
+        self.clients = []
         self.leafs = []
         manifest = (ROOT / "deploy/system.toml").read_text(encoding="utf-8")
         self.commands = {role: re.search(rf'\[roles\.{role}\][^\[]*?run = "([^"]+)"', manifest).group(1)
@@ -267,15 +284,39 @@
         self.cores.append(new)
         return new
 
-    async def start(self):
+    def add_leafs(self, in_each_zone=1, leaf_class=Leaf, **options):
+        for zone in self.zones:
+            for number in range(in_each_zone):
+                self.leafs.append(leaf_class(self.record, f"i-{zone}-{number}", self.new_ip(), zone, **options))
+
+    async def start(self, first_config):
+        """Starts everything. Returns the operator, who has had the first configuration acknowledged."""
         self.list = ListServer(self.list_ip, self.leafs)
         await self.list.start()
         for leaf in self.leafs:
             await leaf.start()
         for vm in self.cores + self.entries:
             vm.start()
+        operator = Operator(self)
+        if not await operator.order("/config/replace", first_config, limit=15):
+            raise CannotRun("the first configuration is not acknowledged")
+        await self.wait_ready()
+        return operator
+
+    def start_load(self, count, interval, method="GET", client_class=None):
+        """Starts clients, spread over the entry VMs, that each send a request every interval."""
+        self.clients = [(client_class or Client)(self.record, self.entries[number % len(self.entries)],
+                                                 f"client-{number}") for number in range(count)]
+        return [asyncio.create_task(client.keep_sending(number * interval / count, interval, method))
+                for number, client in enumerate(self.clients)]
+
+    def answers(self):
+        """Returns the status of each attempt, or None without an answer."""
+        return {attempt: status for client in self.clients for attempt, status in client.answers.items()}
 
     def stop(self):
+        for client in self.clients:
+            client.close()
         for vm in self.cores + self.entries:
             if vm.process and vm.process.poll() is None:
                 vm.process.send_signal(signal.SIGCONT)
@@ -366,18 +407,26 @@
         self.reader = self.writer = None
         self.count = 0
         self.answers = {}  # attempt id: status, or None without an answer
+        self.sent = []  # (time, attempt id, status)
+
+    async def keep_sending(self, delay, interval, method):
+        await asyncio.sleep(delay)
+        while True:
+            begin = self.record.now()
+            attempt, status = await self.request(method, b"dock=3" if method == "POST" else b"")
+            self.sent.append((begin, attempt, status))
+            await asyncio.sleep(max(0.0, begin + interval - self.record.now()))
 
-    async def request(self, method, host, path, deadline_ms, body=b""):
+    async def request(self, method, body=b""):
         self.count += 1
         attempt = f"{self.name}-{self.count}"
-        kept = self.writer is not None
         try:
-            async with asyncio.timeout(deadline_ms / 1000):
-                if not kept:
+            async with asyncio.timeout(TIMEOUT_MS / 1000):
+                if not self.writer:
                     self.reader, self.writer = await asyncio.open_connection(self.entry.ip, FRONT_PORT)
-                self.writer.write(message(f"{method} {path} HTTP/1.1", {
-                    "Host": host, "X-Ragwortdrift-Attempt-Id": attempt,
-                    "X-Ragwortdrift-Deadline-Ms": str(deadline_ms)}, body))
+                self.writer.write(message(f"{method} {PATH} HTTP/1.1", {
+                    "Host": HOST, "X-Ragwortdrift-Attempt-Id": attempt,
+                    "X-Ragwortdrift-Deadline-Ms": str(TIMEOUT_MS)}, body))
                 self.record(f"client sends {method} {attempt} to {self.entry.name}")
                 first, headers, _ = await read_message(self.reader)
             status = status_of(first)
@@ -385,12 +434,12 @@
             self.record(f"client gets {status} for {attempt} from {self.entry.name}")
             if headers.get("connection", "").lower() == "close":
                 self.close()
-            return attempt, status, headers
+            return attempt, status
         except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
             self.answers[attempt] = None
             self.record(f"client gets no answer for {attempt} from {self.entry.name}: {type(error).__name__}")
             self.close()
-            return attempt, None, {}
+            return attempt, None
 
     def close(self):
         if self.writer:
@@ -403,16 +452,21 @@
     record = Record(Path(sys.argv[1]) / "record.txt")
 
     async def run():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         deployment = Deployment(record)
         try:
             async with asyncio.timeout(110):
                 return await case(deployment, record)
         finally:
             deployment.stop()
+            others = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in others:
+                task.cancel()
+            await asyncio.gather(*others, return_exceptions=True)
 
     try:
         broken, summary = asyncio.run(run())
-    except (CannotRun, TimeoutError) as error:
+    except (CannotRun, TimeoutError, asyncio.CancelledError) as error:
         record(f"cannot run: {error!r}")
         print(f"cannot run: {error!r}")
         sys.exit(2)
