--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -466,7 +466,7 @@
 
     try:
         broken, summary = asyncio.run(run())
-    except (CannotRun, TimeoutError, asyncio.CancelledError) as error:
+    except (Exception, asyncio.CancelledError) as error:  # whatever it is, the rule was not seen broken
         record(f"cannot run: {error!r}")
         print(f"cannot run: {error!r}")
         sys.exit(2)
