Keep review case 2 inside the doses that it quotes

Three of four leafs shed, in place of all, and the 0.04 of spoiled answers is counted for each window. The fourth leaf's zone is evacuated, with TROUBLE=0 too. A record that can't be written ends a case with 2.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,9 +6,10 @@
 
 from standins import ID, REQUESTS_PER_S, TROUBLE, CannotRun, Leaf, config, main
 
-GARBLED_ANSWERS = 0.04  # of the answers of a leaf
+EVACUATED = "fen-west"
+GARBLED_ANSWERS = 0.04  # of the answers of a leaf, in each window
 SHED_REQUESTS = 0.04  # whose first arrival at each leaf is shed
-WINDOWS, WINDOW_S, PAUSE_S = 8, 5.0, 4.0
+WINDOWS, WINDOW_S, PAUSE_S = 9, 5.0, 4.0
 CLIENTS = 24
 
 
@@ -22,12 +23,13 @@
 
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
+        self.is_grey = False
         self.garbled_clients = set()
         self.shed = set()
-        self.answers = self.extras = 0
+        self.answers = self.extras = 0  # of the current window
 
     def sheds(self, attempt):
-        return (Trouble.active and attempt not in self.shed and
+        return (Trouble.active and self.is_grey and attempt not in self.shed and
                 zlib.crc32(attempt.encode()) % 1000 < 1000 * SHED_REQUESTS)
 
     async def serve(self, reader, writer):
@@ -56,10 +58,15 @@
 
 async def case(deployment, record):
     deployment.add_leafs(leaf_class=GreyLeaf)  # platboard of railrover-hire: four leafs, one in each zone
-    await deployment.start(config(7, "non_idempotent"))
+    operator = await deployment.start(config(7, "non_idempotent"))
+    if not await operator.order(f"/evacuations/{EVACUATED}/start"):
+        raise CannotRun("the evacuation is not acknowledged")
     load = deployment.start_load(CLIENTS, CLIENTS / REQUESTS_PER_S, "POST")
-    # Two of the four leafs spoil answers, to requests that come by the entry VM of their own zone.
-    for leaf in deployment.leafs[::2]:
+    # Three of the four leafs shed. Two spoil answers, to requests that come by the entry VM of their own zone.
+    used = [leaf for leaf in deployment.leafs if leaf.zone != EVACUATED]
+    for leaf in used:
+        leaf.is_grey = True
+    for leaf in used[:2]:
         leaf.garbled_clients = {client.name for client in deployment.clients if client.entry.zone == leaf.zone}
     await asyncio.sleep(10)
     for _ in range(WINDOWS):
@@ -68,6 +75,10 @@
         await asyncio.sleep(WINDOW_S)
         Trouble.active = False
         record("the disruption ends")
+        for leaf in used:
+            record(f"leaf {leaf.id}: {leaf.answers} answers in this window, {leaf.extras} sent twice; "
+                   f"{len(leaf.shed)} shed so far")
+            leaf.answers = leaf.extras = 0
         await asyncio.sleep(PAUSE_S)
     for task in load:
         task.cancel()
@@ -75,9 +86,6 @@
     answers = deployment.answers()
     if sum(status == 200 for status in answers.values()) < 500:
         raise CannotRun("too few requests were served")
-    for leaf in deployment.leafs:
-        record(f"leaf {leaf.id}: {leaf.answers} answers during the disruption, {len(leaf.shed)} shed, "
-               f"{leaf.extras} sent twice")
     runs = collections.Counter(attempt for leaf in deployment.leafs for _, attempt in leaf.runs)
     twice = sorted(attempt for attempt, count in runs.items() if count > 1)
     refused = sorted(attempt for attempt in runs if answers.get(attempt) in (408, 421, 429, 503))
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -449,7 +449,11 @@
 
 def main(case):
     """Runs a case and exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run."""
-    record = Record(Path(sys.argv[1]) / "record.txt")
+    try:
+        record = Record(Path(sys.argv[1]) / "record.txt")
+    except OSError as error:
+        print(f"cannot run: {error!r}")
+        sys.exit(2)
 
     async def run():
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
