Remove lost voters one by one while a majority responds

Cause: a voter was removed only if it was the only unresponsive one. If the leader is lost in that time, the new leader has no record of contacts, so both lost voters count as unresponsive from the same moment on, and the condition never holds again. Their places stay taken, every successor is refused for lack of a place, and the three living voters are exactly the majority of five.

Change: the longest silent voter is removed as long as a majority of all voters responds, and the next one as soon as that is done. A leader without a majority, which may be the one that is cut off, removes none, as before. voter.removing also logs how many voters respond.

--- a/include/ragwortdrift/fleet/core_node.hpp
+++ b/include/ragwortdrift/fleet/core_node.hpp
@@ -91,6 +91,8 @@
                      const StreamPtr &Response);
   /// Commits the number of entry VMs if it exceeds the recorded one.
   void recordEntryCount();
+  /// Removes one of the voters that have been silent for too long, the longest
+  /// silent first, while a majority of all voters responds.
   void removeUnresponsiveVoter(const ReplicatedLogStatus &Status);
   std::vector<std::string> otherCoreAddresses() const;
 
--- a/src/ragwortdrift/fleet/core_membership.cpp
+++ b/src/ragwortdrift/fleet/core_membership.cpp
@@ -149,24 +149,34 @@
                            m_Timers.now() - m_JoinRefusedAt < NoLeaderTimeout;
   const Duration Timeout =
       IsRedundant ? RedundantVoterTimeout : UnresponsiveVoterTimeout;
-  std::size_t UnresponsiveCount = 0;
+  std::size_t ResponsiveCount = 0;
   const Member *Unresponsive = nullptr;
+  TimePoint UnresponsiveSince;
   for (const Member &Voter : Status.m_Voters) {
-    if (Voter.m_Key.m_Vm.m_Value == m_Address)
+    if (Voter.m_Key.m_Vm.m_Value == m_Address) {
+      ++ResponsiveCount;
       continue;
-    const auto LastContact =
-        m_PeerLastContactAt.try_emplace(Voter.m_Key.m_Vm, m_Timers.now()).first;
-    if (m_Timers.now() - LastContact->second < Timeout)
-      continue;
-    ++UnresponsiveCount;
-    Unresponsive = &Voter;
+    }
+    const TimePoint LastContact =
+        m_PeerLastContactAt.try_emplace(Voter.m_Key.m_Vm, m_Timers.now())
+            .first->second;
+    if (m_Timers.now() - LastContact < Timeout) {
+      ++ResponsiveCount;
+    } else if (!Unresponsive || LastContact < UnresponsiveSince) {
+      Unresponsive = &Voter;
+      UnresponsiveSince = LastContact;
+    }
   }
-  if (UnresponsiveCount != 1 || m_VoterChangePending ||
+  // Without a majority this VM may be the one that is cut off.
+  const bool HasMajority = 2 * ResponsiveCount > Status.m_Voters.size();
+  if (!Unresponsive || !HasMajority || m_VoterChangePending ||
       Status.m_Voters.size() <= MinVoters)
     return;
   const VmId Vm = Unresponsive->m_Key.m_Vm;
   logEvent(LogSeverity::Warning, "voter.removing",
-           {{"vm", Vm}, {"voters", Status.m_Voters.size()}});
+           {{"vm", Vm},
+            {"voters", Status.m_Voters.size()},
+            {"responsive", ResponsiveCount}});
   m_VoterChangePending = true;
   m_OtherCoreAddresses.erase(Unresponsive->m_Address);
   m_Log->removeVoter(
@@ -174,6 +184,9 @@
         m_VoterChangePending = false;
         logEvent(LogSeverity::Info, "voter.removed",
                  {{"vm", Vm}, {"done", isOk(RemoveResult)}});
+        // Another voter may have been lost as well.
+        if (isOk(RemoveResult))
+          updateMembership();
       });
 }
 
--- a/src/ragwortdrift/fleet/fleet_test.cpp
+++ b/src/ragwortdrift/fleet/fleet_test.cpp
@@ -147,6 +147,33 @@
                RoutingCommandOutcome::Accepted);
 }
 
+// Guards against two lost voters that are never removed: a change of the leader
+// lets both count as lost from the same moment on, their places stay taken, and
+// the next loss leaves no majority.
+Test(fleet, tolerates_third_loss_after_two_replacements) {
+  TestFleet Fleet(4, 2);
+  Fleet.startInitialVoters();
+  cr_assert_eq(Fleet.submitUntilDecided(0, TestFleet::config(1)),
+               RoutingCommandOutcome::Accepted);
+  const std::size_t Leader = Fleet.leaderIndex().value();
+  const std::size_t Follower = (Leader + 1) % 4;
+  Fleet.m_Nodes[Follower].reset();
+  Fleet.start(4, false);
+  cr_assert(Fleet.runUntil([&] { return Fleet.voterCount(4) == 5; }));
+  Fleet.m_Nodes[Leader].reset();
+  Fleet.start(5, false);
+  // The second successor gets the place of a lost voter.
+  cr_assert(Fleet.runUntil([&] {
+    const auto State = Fleet.read(5);
+    return isOk(State) && Fleet.voterCount(5) >= 4 &&
+           Fleet.voterCount(5) == Fleet.voterCount(4);
+  }));
+  cr_assert(Fleet.runUntil([&] { return Fleet.voterCount(5) == 4; }));
+  Fleet.m_Nodes[(Leader + 2) % 4].reset();
+  cr_assert_eq(Fleet.submitUntilDecided(4, TestFleet::config(2)),
+               RoutingCommandOutcome::Accepted);
+}
+
 // Guards against acknowledged commands that are lost with a disk, and against a
 // VM with an empty disk that does not become a voter again.
 Test(fleet, readmits_core_vm_with_empty_disk) {
