Send a failed request again only on another connection

Cause: a leaf may send a response a second time, late. The id of the request tells such a copy from the response to another request, but not from the response to the same one: a request that all leafs have refused is sent again, with the same id and on the connection of the refusal. The copy then counted as a second refusal while the leaf ran the request, which went to another leaf as well.

Change: LeafPool remembers which requests have failed on a connection, until their deadline, and sends them on another one; at the connection limit an idle connection is closed for that. A connection is closed after a failure without an id, after which a copy could not be recognized, and when 32 requests are remembered. A response with an id is not accepted for a probe.

One row of leaf_pool/reuses_connection_only_after_complete_response changes: a connection was expected to be reused after a refusal without an id. That is the fault, so the row now expects a new connection.

--- a/include/ragwortdrift/dispatch/leaf_pool.hpp
+++ b/include/ragwortdrift/dispatch/leaf_pool.hpp
@@ -39,7 +39,9 @@
 
   /// RequestIdHeader names the header that a leaf echoes. A response that does
   /// not echo the id of its request may belong to another one, and its
-  /// connection is closed.
+  /// connection is closed. A request that has failed is not sent again on the
+  /// same connection, where a late copy of the failure would be taken for the
+  /// response.
   LeafPool(boost::asio::io_context &Io, TimerService &Timers,
            std::string RequestIdHeader);
   ~LeafPool() override;
@@ -68,7 +70,19 @@
   std::uint64_t connectionsOpened() const { return m_ConnectionsOpened; }
 
 private:
-  using Connection = std::shared_ptr<HttpClientConnection>;
+  /// A request that a leaf has answered with a failure on a connection. A late
+  /// copy of that response has the id that the request has when it is sent
+  /// again.
+  struct FailedRequest {
+    std::string m_RequestId;
+    /// Time from which the request is not sent again.
+    TimePoint m_Deadline;
+  };
+  struct LeafConnection : HttpClientConnection {
+    using HttpClientConnection::HttpClientConnection;
+    std::vector<FailedRequest> m_FailedRequests;
+  };
+  using Connection = std::shared_ptr<LeafConnection>;
 
   struct IdleConnection {
     Connection m_Connection;
@@ -99,11 +113,18 @@
   LeafPtr &leaf(const ListedLeaf &Listed);
 
   void startNext(const LeafPtr &Upstream);
-  Connection takeIdle(Leaf &Upstream);
+  /// Takes an idle connection on which the request has not failed before.
+  Connection takeIdle(Leaf &Upstream, const std::string &RequestId);
+  /// Closes an idle connection to make room for a new one.
+  static void closeOneIdle(Leaf &Upstream);
   void openConnection(const LeafPtr &Upstream,
                       const std::shared_ptr<Request> &Item);
   void sendOn(const LeafPtr &Upstream, const std::shared_ptr<Request> &Item,
               const Connection &Conn);
+  /// Records a failed request, and closes the connection if a late copy of the
+  /// response could not be recognized on it.
+  void recordFailure(LeafConnection &Conn, const HttpResponse &Response,
+                     const std::string &RequestId, TimePoint Deadline) const;
   void finish(const std::shared_ptr<Request> &Item,
               Result<HttpResponse, HttpError> Outcome);
   void addIdle(const LeafPtr &Upstream, const Connection &Conn,
--- a/src/ragwortdrift/dispatch/leaf_pool.cpp
+++ b/src/ragwortdrift/dispatch/leaf_pool.cpp
@@ -21,6 +21,9 @@
 constexpr std::chrono::milliseconds IdleCloseMargin{700};
 /// Keep-alive time assumed if the leaf announces none.
 constexpr std::chrono::seconds DefaultIdleTimeout{20};
+/// Requests within their deadline that may have failed on one connection before
+/// it is closed. Bounds the memory of a connection to a leaf that refuses all.
+constexpr std::size_t MaxFailedRequests = 32;
 
 /// Parses the time in `Keep-Alive: timeout=SECONDS`.
 Duration announcedIdleTimeout(const HttpResponse &Response) {
@@ -40,13 +43,13 @@
 
 /// Returns false if a response does not carry the id of its request. It may
 /// then be a late response to an earlier request. Requests without an id are
-/// health probes.
+/// health probes, whose responses carry none either.
 bool belongsToRequest(const HttpResponse &Response, const std::string &IdHeader,
                       const std::string &RequestId) {
   const auto Field = Response.find(IdHeader);
   if (Field == Response.end())
     return RequestId.empty() || Response.result_int() / 100 != 2;
-  return RequestId.empty() || Field->value() == RequestId;
+  return Field->value() == RequestId;
 }
 
 } // namespace
@@ -75,7 +78,7 @@
     return;
   ++Upstream->m_OpenConnections;
   ++m_ConnectionsOpened;
-  auto Conn = std::make_shared<HttpClientConnection>(m_Io);
+  auto Conn = std::make_shared<LeafConnection>(m_Io);
   Conn->connect(Upstream->m_Address.m_Ip, Upstream->m_Address.m_Port,
                 ConnectTimeout,
                 [this, Alive = std::weak_ptr(m_Alive), Upstream,
@@ -145,11 +148,15 @@
     // Its timer ends the request, which must not be sent in the meantime.
     if (Item->m_Deadline - m_Timers.now() < MinTimeout)
       return;
-    if (const Connection Conn = takeIdle(*Upstream)) {
+    const std::string RequestId(Item->m_Http[m_RequestIdHeader]);
+    if (const Connection Conn = takeIdle(*Upstream, RequestId)) {
       Upstream->m_QueuedRequests.pop_front();
       sendOn(Upstream, Item, Conn);
-    } else if (Upstream->m_OpenConnections <
-               connectionLimit(Upstream->m_Service)) {
+      continue;
+    }
+    if (Upstream->m_OpenConnections >= connectionLimit(Upstream->m_Service))
+      closeOneIdle(*Upstream);
+    if (Upstream->m_OpenConnections < connectionLimit(Upstream->m_Service)) {
       Upstream->m_QueuedRequests.pop_front();
       openConnection(Upstream, Item);
     } else {
@@ -158,23 +165,44 @@
   }
 }
 
-LeafPool::Connection LeafPool::takeIdle(Leaf &Upstream) {
-  while (!Upstream.m_IdleConnections.empty()) {
-    const IdleConnection Idle = std::move(Upstream.m_IdleConnections.back());
-    Upstream.m_IdleConnections.pop_back();
-    if (Idle.m_Connection->usable() &&
-        m_Timers.now() - Idle.m_IdleSince < Idle.m_IdleTimeout)
-      return Idle.m_Connection;
-    Idle.m_Connection->onIdleClose(nullptr);
-    Idle.m_Connection->close();
-    --Upstream.m_OpenConnections;
+LeafPool::Connection LeafPool::takeIdle(Leaf &Upstream,
+                                        const std::string &RequestId) {
+  auto &Idle = Upstream.m_IdleConnections;
+  for (std::size_t I = Idle.size(); I-- > 0;) {
+    const Connection Conn = Idle[I].m_Connection;
+    if (!Conn->usable() ||
+        m_Timers.now() - Idle[I].m_IdleSince >= Idle[I].m_IdleTimeout) {
+      Idle.erase(Idle.begin() + static_cast<std::ptrdiff_t>(I));
+      Conn->onIdleClose(nullptr);
+      Conn->close();
+      --Upstream.m_OpenConnections;
+      continue;
+    }
+    const bool HasFailed = !RequestId.empty() &&
+                           std::ranges::find(Conn->m_FailedRequests, RequestId,
+                                             &FailedRequest::m_RequestId) !=
+                               Conn->m_FailedRequests.end();
+    if (HasFailed)
+      continue;
+    Idle.erase(Idle.begin() + static_cast<std::ptrdiff_t>(I));
+    return Conn;
   }
   return nullptr;
 }
 
+void LeafPool::closeOneIdle(Leaf &Upstream) {
+  if (Upstream.m_IdleConnections.empty())
+    return;
+  const Connection Conn = Upstream.m_IdleConnections.front().m_Connection;
+  Upstream.m_IdleConnections.erase(Upstream.m_IdleConnections.begin());
+  Conn->onIdleClose(nullptr);
+  Conn->close();
+  --Upstream.m_OpenConnections;
+}
+
 void LeafPool::openConnection(const LeafPtr &Upstream,
                               const std::shared_ptr<Request> &Item) {
-  auto Conn = std::make_shared<HttpClientConnection>(m_Io);
+  auto Conn = std::make_shared<LeafConnection>(m_Io);
   Item->m_Connection = Conn;
   ++Upstream->m_OpenConnections;
   ++m_ConnectionsOpened;
@@ -216,6 +244,8 @@
           Outcome = HttpError{HttpErrorCode::BadResponse, true,
                               "response without the id of the request"};
         }
+        if (isOk(Outcome) && valueOf(Outcome).result_int() / 100 != 2)
+          recordFailure(*Conn, valueOf(Outcome), RequestId, Item->m_Deadline);
         if (Conn->usable()) {
           addIdle(Upstream, Conn,
                   isOk(Outcome) ? announcedIdleTimeout(valueOf(Outcome))
@@ -229,6 +259,22 @@
       });
 }
 
+void LeafPool::recordFailure(LeafConnection &Conn, const HttpResponse &Response,
+                             const std::string &RequestId,
+                             TimePoint Deadline) const {
+  if (RequestId.empty())
+    return;
+  auto &Failed = Conn.m_FailedRequests;
+  std::erase_if(Failed, [&](const FailedRequest &Item) {
+    return Item.m_Deadline <= m_Timers.now();
+  });
+  Failed.push_back({RequestId, Deadline});
+  // Without an id, a late copy would pass for the response to any request.
+  if (Response.find(m_RequestIdHeader) == Response.end() ||
+      Failed.size() > MaxFailedRequests)
+    Conn.close();
+}
+
 void LeafPool::addIdle(const LeafPtr &Upstream, const Connection &Conn,
                        Duration IdleTimeout, bool CarriedRequest) {
   const Duration SafeIdleTimeout =
--- a/src/ragwortdrift/dispatch/leaf_pool_test.cpp
+++ b/src/ragwortdrift/dispatch/leaf_pool_test.cpp
@@ -55,6 +55,8 @@
             serve(Socket, Buffer);
             return;
           }
+          if (Socket == m_SocketWithExtraBytes)
+            asio::write(*Socket, asio::buffer(m_BytesBeforeResponse));
           asio::async_write(*Socket, asio::buffer(m_ResponseBytes),
                             [=, this](boost::system::error_code, std::size_t) {
                               serve(Socket, Buffer);
@@ -67,7 +69,8 @@
        Duration Timeout = 500ms) {
     HttpRequest Request{boost::beast::http::verb::get, "/x", 11};
     Request.set("Host", "h");
-    Request.set("T-Id", "r1");
+    if (!m_RequestId.empty())
+      Request.set("T-Id", m_RequestId);
     return m_Pool.send(m_Leaf, std::move(Request), Timeout,
                        std::move(OnResponse));
   }
@@ -98,6 +101,10 @@
   ListedLeaf m_Leaf;
   std::string m_ResponseBytes =
       "HTTP/1.1 200 OK\r\nT-Id: r1\r\nContent-Length: 2\r\n\r\nok";
+  std::string m_RequestId = "r1";
+  /// Bytes that one connection receives ahead of each response.
+  std::string m_BytesBeforeResponse;
+  std::shared_ptr<tcp::socket> m_SocketWithExtraBytes;
   /// Accepted connections, and the connection of each request.
   std::vector<std::shared_ptr<tcp::socket>> m_AcceptedSockets;
   std::vector<std::shared_ptr<tcp::socket>> m_RequestSockets;
@@ -134,8 +141,9 @@
     // A late copy of an earlier response may lack the id as well.
     {"response without an id", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
      false, false},
+    // A late copy would pass for the response to any later request.
     {"refusal without an id",
-     "HTTP/1.1 503 Unavailable\r\nContent-Length: 2\r\n\r\nok", true, true},
+     "HTTP/1.1 503 Unavailable\r\nContent-Length: 2\r\n\r\nok", true, false},
     {"interim response first",
      "HTTP/1.1 100 Continue\r\n\r\n"
      "HTTP/1.1 200 OK\r\nT-Id: r1\r\nContent-Length: 2\r\n\r\nok",
@@ -143,8 +151,75 @@
     {"not HTTP", "hello there\r\n\r\n", false, false},
 };
 
+struct FailureCase {
+  const char *m_Name;
+  std::uint32_t m_ConnectionLimit;
+  std::string m_FirstId;
+  std::string m_SecondId;
+  /// True if the second request is sent on the connection of the first.
+  bool m_IsReused;
+};
+const FailureCase FailureCases[] = {
+    {"same request, room for a connection", 2, "r1", "r1", false},
+    {"same request, connection limit reached", 1, "r1", "r1", false},
+    {"other request", 1, "r1", "r2", true},
+};
+
+std::string refusalOf(const std::string &Id) {
+  return "HTTP/1.1 503 Unavailable\r\nT-Id: " + Id +
+         "\r\nContent-Length: 2\r\n\r\nno";
+}
+std::string answerTo(const std::string &Id) {
+  return "HTTP/1.1 200 OK\r\nT-Id: " + Id + "\r\nContent-Length: 2\r\n\r\nok";
+}
+
 } // namespace
 
+// Guards against a late copy of a refusal that is taken for the response to the
+// same request when it is sent again: the request would run unnoticed, and once
+// more at another leaf.
+TABLE_TEST(leaf_pool, sends_failed_request_on_other_connection, FailureCases) {
+  PoolFixture F;
+  F.m_Pool.setConnectionLimit(ServiceName{"service"}, Row.m_ConnectionLimit);
+  F.m_ResponseBytes = refusalOf(Row.m_FirstId);
+  F.m_RequestId = Row.m_FirstId;
+  cr_assert_eq(valueOf(F.request()).result_int(), 503U, "%s", Row.m_Name);
+  // A copy that has been sent by the time of the second request comes first.
+  F.m_BytesBeforeResponse = Row.m_IsReused ? "" : refusalOf(Row.m_FirstId);
+  F.m_SocketWithExtraBytes = F.m_RequestSockets[0];
+  F.m_ResponseBytes = answerTo(Row.m_SecondId);
+  F.m_RequestId = Row.m_SecondId;
+  const auto Second = F.request();
+  cr_assert(isOk(Second), "%s", Row.m_Name);
+  cr_assert_eq(valueOf(Second).result_int(), 200U, "%s", Row.m_Name);
+  cr_assert_eq(F.m_Accepted, Row.m_IsReused ? 1 : 2, "%s", Row.m_Name);
+  cr_assert_leq(F.m_Pool.connections(), Row.m_ConnectionLimit);
+}
+
+// Guards against a late response to a request that is taken for that to a
+// health probe.
+Test(leaf_pool, refuses_response_of_request_for_probe) {
+  PoolFixture F;
+  F.m_RequestId.clear();
+  const auto Probe = F.request();
+  cr_assert(!isOk(Probe) && errorOf(Probe).m_MaybeSent);
+  F.m_ResponseBytes = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  cr_assert(isOk(F.request()));
+}
+
+// Guards against a leaf that refuses all requests and fills the memory of its
+// connections.
+Test(leaf_pool, bounds_failed_requests_of_connection) {
+  PoolFixture F;
+  for (int I = 0; I < 100; ++I) {
+    F.m_RequestId = "r" + std::to_string(I);
+    F.m_ResponseBytes = refusalOf(F.m_RequestId);
+    cr_assert(isOk(F.request(3s)));
+  }
+  cr_assert_gt(F.m_Accepted, 1);
+  cr_assert_lt(F.m_Accepted, 10);
+}
+
 // Guards against reading bytes of one response as part of the next, and against
 // closing reusable connections.
 TABLE_TEST(leaf_pool, reuses_connection_only_after_complete_response,
