Notice callers that disconnect after their last request

A caller that sends its request with "Connection: close", or as HTTP/1.0, and disconnects before the response was not noticed: its request stayed with the leafs, and an operator's command stayed in force to be executed.

Cause: the read of the next request is what detects the end of a connection, and none is pending after a request that announces no further one.

Change: such a connection is read until its end.

Evidence: without the read, the rows "last request" and "HTTP/1.0" of http_server/reports_caller_disconnect_before_response failed; all three pass.

--- a/include/ragwortdrift/net/http_server.hpp
+++ b/include/ragwortdrift/net/http_server.hpp
@@ -40,6 +40,8 @@
   explicit HttpExchange(HttpRequest Request) : m_Request(std::move(Request)) {}
 
   const HttpRequest &request() const { return m_Request; }
+  /// True until the response is sent or the caller's connection ends.
+  bool isOpen() const { return m_Respond != nullptr; }
   /// Sends the response. Later calls, and calls after an abort, have no effect.
   void respond(HttpResponse Response);
   /// Calls back once if the caller's connection ends before the response is
--- a/src/ragwortdrift/net/http_server.cpp
+++ b/src/ragwortdrift/net/http_server.cpp
@@ -122,6 +122,16 @@
     readHeader();
   }
 
+  /// Waits for the end of a connection that carries no further request.
+  void awaitEnd() {
+    m_Stream.socket().async_read_some(
+        asio::buffer(&m_IgnoredByte, 1),
+        [Self = shared_from_this()](beast::error_code Error, std::size_t) {
+          if (Error)
+            Self->onReadError(Error);
+        });
+  }
+
   void readHeader() {
     if (m_Reader.hasHeader()) {
       m_Reader.parseHeader(
@@ -201,6 +211,8 @@
     // A pending read detects a caller that disconnects before the response.
     if (Exchange->request().keep_alive())
       awaitRequest();
+    else
+      awaitEnd();
     m_Server.m_OnRequest(std::move(Exchange));
   }
 
@@ -303,6 +315,7 @@
   /// Start of the wait for the request that is not complete yet.
   std::chrono::steady_clock::time_point m_WaitingSince;
   std::size_t m_RequestBytes = 0;
+  char m_IgnoredByte = 0;
   bool m_HasSentRequest = false;
   bool m_ReadEnded = false;
   bool m_Writing = false;
--- a/src/ragwortdrift/net/http_server_test.cpp
+++ b/src/ragwortdrift/net/http_server_test.cpp
@@ -82,6 +82,16 @@
   return Out;
 }
 
+struct DisconnectCase {
+  const char *m_Name;
+  const char *m_Request;
+};
+const DisconnectCase DisconnectCases[] = {
+    {"connection kept open", "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"},
+    {"last request", "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"},
+    {"HTTP/1.0", "GET /x HTTP/1.0\r\n\r\n"},
+};
+
 struct RefusalCase {
   const char *m_Name;
   std::string m_Bytes;
@@ -133,8 +143,10 @@
   }));
 }
 
-// Guards against work for a caller that has disconnected.
-Test(http_server, reports_caller_disconnect_before_response) {
+// Guards against work for a caller that has disconnected, whether or not it
+// wanted to send more requests.
+TABLE_TEST(http_server, reports_caller_disconnect_before_response,
+           DisconnectCases) {
   std::shared_ptr<HttpExchange> OpenExchange;
   bool Aborted = false;
   ServerFixture Fixture([&](std::shared_ptr<HttpExchange> Exchange) {
@@ -143,10 +155,12 @@
   });
   {
     tcp::socket Caller = Fixture.connect();
-    asio::write(Caller, asio::buffer(requestText("x")));
+    asio::write(Caller, asio::buffer(std::string(Row.m_Request)));
     cr_assert(Fixture.runUntil([&] { return OpenExchange != nullptr; }));
+    cr_assert(OpenExchange->isOpen(), "%s", Row.m_Name);
   }
-  cr_assert(Fixture.runUntil([&] { return Aborted; }));
+  cr_assert(Fixture.runUntil([&] { return Aborted; }), "%s", Row.m_Name);
+  cr_assert_not(OpenExchange->isOpen(), "%s", Row.m_Name);
   OpenExchange->respond(jsonResponse(200, "{}"));
   cr_assert_eq(Fixture.m_Server.openExchanges(), 0U);
 }
