Do not execute late copies of commands for failure domains

Cause: an operator sends a command to another core VM when one does not respond for a second. The first copy may wait in the socket of a suspended core VM, in the network or on the way to the leader, and is executed when it gets there. SetDomainOut had nothing that tells such a copy from a new command, so it undid commands that had been acknowledged since. A configuration is safe, since it carries a version; the count of entry VMs only grows; commands of ragwortdriftd carry an id.

Change, in two parts, since either alone leaves a gap: - A command is bound to the state for which it was given. The core VM that receives it reads the state from the leader and submits ChangeDomainOut with the revision of the domain's last change; the command has no effect if the domain has changed since, wherever it was delayed. - A core VM that was suspended reads a command late and would bind it to the current state. Before it submits the command it waits for 50 ms and does not submit it if the operator's connection has ended: whoever moved on to another core VM has closed it. A domain that is already as requested is acknowledged from the confirmed state. A command that another one overtakes is bound anew while its operator waits.

What is left: an operator whose connection seems open although it has given up, because the end of the connection is lost on its way for more than 50 ms after the command itself arrived.

--- a/include/ragwortdrift/fleet/core_node.hpp
+++ b/include/ragwortdrift/fleet/core_node.hpp
@@ -37,6 +37,12 @@
   /// Commits an operator command, forwarding it to the leader if needed.
   /// Success means that the command is durable on a majority of the voters.
   void submit(RoutingCommand Command, CommandCallback Callback);
+  /// Takes a failure domain out of service or returns it to service.
+  /// IsWaiting() returns false when the operator has given up: a request that
+  /// has arrived late, for instance while this VM was suspended, is then not
+  /// executed, since later commands may already be in force.
+  void setDomainOut(const FailureDomain &Domain, bool Out,
+                    std::function<bool()> IsWaiting, CommandCallback Callback);
   /// Reads the latest state, confirmed by a majority of the voters after the
   /// call.
   void read(ReadCallback Callback);
@@ -72,6 +78,18 @@
   std::string leaderAddress() const;
 
   // Commands and reads.
+  struct DomainCommand {
+    FailureDomain m_Domain;
+    bool m_Out = false;
+    std::function<bool()> m_IsWaiting;
+    CommandCallback m_Callback;
+    unsigned m_AttemptsLeft = 0;
+  };
+  using DomainCommandPtr = std::shared_ptr<DomainCommand>;
+  /// Submits the command for the current state of its domain.
+  void prepareDomainCommand(const DomainCommandPtr &Command);
+  void submitDomainCommand(const DomainCommandPtr &Command,
+                           std::uint64_t LastChange);
   void commitCommand(const RoutingCommand &Command, CommandCallback Callback);
   void confirmRead(ReadCallback Callback);
   template <class Reply, class Value>
@@ -203,6 +221,9 @@
   std::vector<TimerService::Subscription> m_Periodic;
   TimerService::Subscription m_ListTimer;
   TimerService::Subscription m_ReportTimer;
+  /// Commands whose submission is due after AbandonmentNoticeTime.
+  std::map<std::uint64_t, TimerService::Subscription> m_DomainCommandTimers;
+  std::uint64_t m_NextDomainCommandId = 0;
 };
 
 } // namespace ragwortdrift
--- a/include/ragwortdrift/fleet/messages.hpp
+++ b/include/ragwortdrift/fleet/messages.hpp
@@ -159,7 +159,10 @@
   UnknownOutcome,
   /// The command exceeds the maximum size of a log entry.
   TooLarge,
-  BadMessage
+  BadMessage,
+  /// The operator stopped waiting, and may have submitted the command again
+  /// and others after it; the command was not executed.
+  Abandoned
 };
 template <> struct EnumNames<CoreErrorCode> {
   using Row = EnumName<CoreErrorCode>;
@@ -168,7 +171,8 @@
       Row{CoreErrorCode::NoLeader, "no_leader"},
       Row{CoreErrorCode::UnknownOutcome, "unknown_outcome"},
       Row{CoreErrorCode::TooLarge, "too_large"},
-      Row{CoreErrorCode::BadMessage, "bad_message"}};
+      Row{CoreErrorCode::BadMessage, "bad_message"},
+      Row{CoreErrorCode::Abandoned, "abandoned"}};
 };
 
 struct CoreError {
--- a/include/ragwortdrift/routing/routing_state.hpp
+++ b/include/ragwortdrift/routing/routing_state.hpp
@@ -4,6 +4,7 @@
 #include "ragwortdrift/base/codec.hpp"
 #include "ragwortdrift/base/ids.hpp"
 
+#include <map>
 #include <set>
 #include <string>
 #include <variant>
@@ -28,7 +29,9 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(m_Config); }
 };
 
-/// Takes a failure domain out of service or returns it to service.
+/// Takes a failure domain out of service or returns it to service, whatever has
+/// happened since it was submitted. Contained in logs of earlier releases; new
+/// commands are ChangeDomainOut.
 struct SetDomainOut {
   FailureDomain m_Domain;
   bool m_Out = false;
@@ -43,14 +46,31 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(m_Count); }
 };
 
-using RoutingCommand = std::variant<SetConfig, SetDomainOut, RaiseEntryCount>;
+/// Takes a failure domain out of service or returns it to service, provided
+/// that it has not changed since the command was submitted. A copy that arrives
+/// late then does not undo a later command.
+struct ChangeDomainOut {
+  FailureDomain m_Domain;
+  bool m_Out = false;
+  /// Revision of the domain's last change; 0 if there was none.
+  std::uint64_t m_LastChange = 0;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_Domain, m_Out, m_LastChange);
+  }
+};
+
+/// The order of the alternatives is part of the log format.
+using RoutingCommand =
+    std::variant<SetConfig, SetDomainOut, RaiseEntryCount, ChangeDomainOut>;
 
 enum class RoutingCommandOutcome : std::uint8_t {
   Accepted,
   /// The command has no effect: it is already in force, or a higher version is.
   Unchanged,
   /// The version already exists with different content.
-  OtherContent
+  OtherContent,
+  /// The command depends on a state that has changed; it was not executed.
+  Outdated
 };
 template <> struct EnumNames<RoutingCommandOutcome> {
   static constexpr std::array Entries{
@@ -59,7 +79,9 @@
       EnumName<RoutingCommandOutcome>{RoutingCommandOutcome::Unchanged,
                                       "unchanged"},
       EnumName<RoutingCommandOutcome>{RoutingCommandOutcome::OtherContent,
-                                      "other_content"}};
+                                      "other_content"},
+      EnumName<RoutingCommandOutcome>{RoutingCommandOutcome::Outdated,
+                                      "outdated"}};
 };
 
 /// State set by operators that the voters replicate.
@@ -70,13 +92,24 @@
   std::set<FailureDomain> m_DomainsOut;
   /// The highest number of entry VMs seen so far.
   std::uint32_t m_EntryCount = 0;
+  /// Revision of the last change of each failure domain that was ever out.
+  std::map<FailureDomain, std::uint64_t> m_DomainChanges;
 
   friend bool operator==(const RoutingState &, const RoutingState &) = default;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(m_Revision, m_Config, m_DomainsOut, m_EntryCount);
+    Ar(m_Revision, m_Config, m_DomainsOut, m_EntryCount, m_DomainChanges);
   }
 };
 
+/// Returns the revision of the last change of a failure domain; 0 if there was
+/// none.
+std::uint64_t lastChange(const RoutingState &State,
+                         const FailureDomain &Domain);
+
+/// Decodes a state of this release, or of an earlier one, which recorded no
+/// changes of failure domains.
+Result<RoutingState, CodecError> decodeState(std::string_view Bytes);
+
 /// Applies a committed command.
 RoutingCommandOutcome applyCommand(RoutingState &State,
                                    const RoutingCommand &Command);
--- a/src/ragwortdrift/fleet/core_node.cpp
+++ b/src/ragwortdrift/fleet/core_node.cpp
@@ -45,6 +45,13 @@
 /// Bounds on the log in memory and on disk for configurations of any size.
 constexpr std::size_t SnapshotBytes = std::size_t{4} << 20;
 constexpr std::size_t TrailingBytes = std::size_t{2} << 20;
+/// Time in which the end of an operator's connection is noticed at the latest
+/// after a request on it was read: a delayed request is followed by the end of
+/// its connection within a round trip.
+constexpr std::chrono::milliseconds AbandonmentNoticeTime{50};
+/// Attempts at a command whose failure domain is changed by other commands at
+/// the same time; operators have at most a few commands in flight.
+constexpr unsigned MaxDomainCommandAttempts = 3;
 /// Upper bound of the first election timeout, so that voters that restart
 /// together elect a leader quickly. Voters that receive messages from a
 /// leader refuse an early candidate.
@@ -199,7 +206,7 @@
 }
 
 void CoreNode::onSnapshotRestored(const std::string &Bytes) {
-  auto Snapshot = decode<RoutingState>(Bytes);
+  auto Snapshot = decodeState(Bytes);
   if (!isOk(Snapshot)) {
     logEvent(LogSeverity::Error, "log.bad_snapshot",
              {{"error", errorOf(Snapshot).m_Code},
@@ -303,6 +310,51 @@
       "/order", std::move(Bytes), MaxForwardAttempts, std::move(Callback));
 }
 
+void CoreNode::setDomainOut(const FailureDomain &Domain, bool Out,
+                            std::function<bool()> IsWaiting,
+                            CommandCallback Callback) {
+  prepareDomainCommand(std::make_shared<DomainCommand>(
+      DomainCommand{Domain, Out, std::move(IsWaiting), std::move(Callback),
+                    MaxDomainCommandAttempts}));
+}
+
+void CoreNode::prepareDomainCommand(const DomainCommandPtr &Command) {
+  --Command->m_AttemptsLeft;
+  read([this, Command](const Result<RoutingState, CoreError> &ReadResult) {
+    if (!isOk(ReadResult))
+      return Command->m_Callback(errorOf(ReadResult));
+    const RoutingState &State = valueOf(ReadResult);
+    if (State.m_DomainsOut.contains(Command->m_Domain) == Command->m_Out)
+      return Command->m_Callback(RoutingCommandOutcome::Unchanged);
+    const std::uint64_t LastChange = lastChange(State, Command->m_Domain);
+    const std::uint64_t Id = m_NextDomainCommandId++;
+    m_DomainCommandTimers[Id] =
+        m_Timers.after(AbandonmentNoticeTime, [this, Id, Command, LastChange] {
+          const auto Timer = m_DomainCommandTimers.extract(Id);
+          submitDomainCommand(Command, LastChange);
+        });
+  });
+}
+
+void CoreNode::submitDomainCommand(const DomainCommandPtr &Command,
+                                   std::uint64_t LastChange) {
+  if (!Command->m_IsWaiting()) {
+    logEvent(LogSeverity::Warning, "command.abandoned",
+             {{"domain", Command->m_Domain}, {"out", Command->m_Out}});
+    return Command->m_Callback(CoreError{CoreErrorCode::Abandoned, {}});
+  }
+  submit(ChangeDomainOut{Command->m_Domain, Command->m_Out, LastChange},
+         [this, Command](Result<RoutingCommandOutcome, CoreError> Outcome) {
+           const bool IsOutdated =
+               isOk(Outcome) &&
+               valueOf(Outcome) == RoutingCommandOutcome::Outdated;
+           if (IsOutdated && Command->m_AttemptsLeft > 0)
+             prepareDomainCommand(Command);
+           else
+             Command->m_Callback(std::move(Outcome));
+         });
+}
+
 void CoreNode::commitCommand(const RoutingCommand &Command,
                              CommandCallback Callback) {
   m_Log->propose(encode(Command),
--- a/src/ragwortdrift/fleet/fleet_fixture.hpp
+++ b/src/ragwortdrift/fleet/fleet_fixture.hpp
@@ -148,6 +148,24 @@
     cr_assert_fail("the outcome is still unknown after 100 attempts");
     return {};
   }
+  /// Changes a failure domain as a patient operator does.
+  RoutingCommandOutcome setDomainOut(std::size_t Index,
+                                     const FailureDomain &Domain, bool Out) {
+    for (int Attempt = 0; Attempt < 100; ++Attempt) {
+      std::optional<Result<RoutingCommandOutcome, CoreError>> Reply;
+      m_Nodes[Index]->setDomainOut(
+          Domain, Out, [] { return true; },
+          [&](const Result<RoutingCommandOutcome, CoreError> &CommandResult) {
+            Reply.emplace(CommandResult);
+          });
+      cr_assert(runUntil([&] { return Reply.has_value(); }, 4s));
+      if (isOk(*Reply))
+        return valueOf(*Reply);
+      runUntil([] { return false; }, 50ms);
+    }
+    cr_assert_fail("the outcome is still unknown after 100 attempts");
+    return {};
+  }
   Result<RoutingState, CoreError> read(std::size_t Index) {
     std::optional<Result<RoutingState, CoreError>> Reply;
     m_Nodes[Index]->read([&](Result<RoutingState, CoreError> ReadResult) {
--- a/src/ragwortdrift/fleet/fleet_test.cpp
+++ b/src/ragwortdrift/fleet/fleet_test.cpp
@@ -50,6 +50,16 @@
     {"server that refuses requests", {}},
 };
 
+struct DomainCommandCase {
+  const char *m_Name;
+  /// True if the operator waits until the command is submitted again.
+  bool m_IsStillWaiting;
+};
+const DomainCommandCase DomainCommandCases[] = {
+    {"operator waits", true},
+    {"operator has given up", false},
+};
+
 /// Starts an entry VM for each core VM, its source being the only core VM that
 /// it knows at first. Each has a leaf list on return.
 std::vector<std::unique_ptr<TestEntry>>
@@ -272,6 +282,80 @@
       Fleet.runUntil([&] { return Entry.m_LeafLists.back().size() == 3; }, 3s));
 }
 
+// Guards against a copy of a command that was under way while the same command
+// and later ones took effect, and then undoes them; and against a command that
+// is refused since its domain changes at the same time.
+TABLE_TEST(fleet, applies_domain_command_to_current_state, DomainCommandCases) {
+  TestFleet Fleet(3);
+  Fleet.startInitialVoters();
+  const FailureDomain Domain{"north"};
+  cr_assert_eq(Fleet.setDomainOut(0, Domain, true),
+               RoutingCommandOutcome::Accepted);
+  CoreNode &Leader = *Fleet.m_Nodes[Fleet.leaderIndex().value()];
+  int Calls = 0;
+  std::optional<Result<RoutingCommandOutcome, CoreError>> Reply;
+  Leader.setDomainOut(
+      Domain, false,
+      [&] {
+        if (++Calls > 1)
+          return Row.m_IsStillWaiting;
+        // These are in the log ahead of the command.
+        for (const bool Out : {false, true})
+          Leader.submit(
+              SetDomainOut{Domain, Out},
+              [](const Result<RoutingCommandOutcome, CoreError> &) {});
+        return true;
+      },
+      [&](const Result<RoutingCommandOutcome, CoreError> &Actual) {
+        Reply.emplace(Actual);
+      });
+  cr_assert(Fleet.runUntil([&] { return Reply.has_value(); }));
+  cr_assert_eq(Calls, 2);
+  if (Row.m_IsStillWaiting)
+    cr_assert(isOk(*Reply) &&
+              valueOf(*Reply) == RoutingCommandOutcome::Accepted);
+  else
+    cr_assert(!isOk(*Reply) &&
+              errorOf(*Reply).m_Code == CoreErrorCode::Abandoned);
+  const auto State = Fleet.read(1);
+  cr_assert(isOk(State));
+  cr_assert_eq(valueOf(State).m_DomainsOut.contains(Domain),
+               !Row.m_IsStillWaiting, "%s", Row.m_Name);
+}
+
+// Guards against a command that waited in a suspended core VM while its
+// operator gave up and submitted it, and then others, to another one.
+Test(fleet, abandons_command_after_suspension) {
+  TestFleet Fleet(3);
+  asio::io_context SuspendedIo;
+  CoreNode Suspended(SuspendedIo, Fleet.settings(2, true), makeLineFormat());
+  cr_assert(isOk(Suspended.start()));
+  for (const std::size_t I : {0, 1})
+    Fleet.start(I, true);
+  const FailureDomain Domain{"north"};
+  bool IsWaiting = true;
+  std::optional<Result<RoutingCommandOutcome, CoreError>> Reply;
+  Fleet.m_PausableIo = &SuspendedIo;
+  cr_assert_eq(Fleet.setDomainOut(0, Domain, true),
+               RoutingCommandOutcome::Accepted);
+  Fleet.m_PausableIo = nullptr;
+  Suspended.setDomainOut(
+      Domain, false, [&] { return IsWaiting; },
+      [&](const Result<RoutingCommandOutcome, CoreError> &Actual) {
+        Reply.emplace(Actual);
+      });
+  for (const bool Out : {false, true})
+    cr_assert_eq(Fleet.setDomainOut(1, Domain, Out),
+                 RoutingCommandOutcome::Accepted);
+  IsWaiting = false;
+  Fleet.m_PausableIo = &SuspendedIo;
+  cr_assert(Fleet.runUntil([&] { return Reply.has_value(); }));
+  cr_assert(!isOk(*Reply));
+  const auto State = Fleet.read(1);
+  cr_assert(isOk(State) && valueOf(State).m_DomainsOut.contains(Domain));
+  Fleet.m_PausableIo = nullptr;
+}
+
 // Guards against a core VM that is removed from the voters while suspended and
 // then sends its outdated state to entry VMs that start.
 Test(fleet, withholds_state_of_removed_voter) {
--- a/src/ragwortdrift/routing/routing_state.cpp
+++ b/src/ragwortdrift/routing/routing_state.cpp
@@ -16,16 +16,32 @@
   return RoutingCommandOutcome::Accepted;
 }
 
+/// The state as encoded before the changes of failure domains were recorded.
+struct StateWithoutDomainChanges {
+  RoutingState m_State;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(m_State.m_Revision, m_State.m_Config, m_State.m_DomainsOut,
+       m_State.m_EntryCount);
+  }
+};
+
 RoutingCommandOutcome apply(RoutingState &State, const SetDomainOut &Command) {
   const bool Changed = Command.m_Out
                            ? State.m_DomainsOut.insert(Command.m_Domain).second
                            : State.m_DomainsOut.erase(Command.m_Domain) > 0;
   if (!Changed)
     return RoutingCommandOutcome::Unchanged;
-  ++State.m_Revision;
+  State.m_DomainChanges[Command.m_Domain] = ++State.m_Revision;
   return RoutingCommandOutcome::Accepted;
 }
 
+RoutingCommandOutcome apply(RoutingState &State,
+                            const ChangeDomainOut &Command) {
+  if (Command.m_LastChange != lastChange(State, Command.m_Domain))
+    return RoutingCommandOutcome::Outdated;
+  return apply(State, SetDomainOut{Command.m_Domain, Command.m_Out});
+}
+
 RoutingCommandOutcome apply(RoutingState &State,
                             const RaiseEntryCount &Command) {
   if (Command.m_Count <= State.m_EntryCount)
@@ -37,6 +53,22 @@
 
 } // namespace
 
+std::uint64_t lastChange(const RoutingState &State,
+                         const FailureDomain &Domain) {
+  const auto Change = State.m_DomainChanges.find(Domain);
+  return Change == State.m_DomainChanges.end() ? 0 : Change->second;
+}
+
+Result<RoutingState, CodecError> decodeState(std::string_view Bytes) {
+  auto State = decode<RoutingState>(Bytes);
+  if (isOk(State))
+    return State;
+  auto EarlierState = decode<StateWithoutDomainChanges>(Bytes);
+  if (isOk(EarlierState))
+    return std::move(valueOf(EarlierState).m_State);
+  return State;
+}
+
 RoutingCommandOutcome applyCommand(RoutingState &State,
                                    const RoutingCommand &Command) {
   return std::visit([&](const auto &Payload) { return apply(State, Payload); },
--- a/src/ragwortdrift/routing/routing_test.cpp
+++ b/src/ragwortdrift/routing/routing_test.cpp
@@ -142,6 +142,46 @@
   }
 }
 
+// Guards against a late copy of a command that undoes a later one.
+Test(routing_state, late_copy_does_not_undo_later_command) {
+  RoutingState State;
+  const FailureDomain Domain{"north"}, OtherDomain{"south"};
+  const auto Change = [&](const FailureDomain &Changed, bool Out) {
+    return ChangeDomainOut{Changed, Out, lastChange(State, Changed)};
+  };
+  cr_assert_eq(applyCommand(State, Change(Domain, true)),
+               RoutingCommandOutcome::Accepted);
+  const ChangeDomainOut Return = Change(Domain, false);
+  // A change of another domain, or of the configuration, does not matter.
+  applyCommand(State, Change(OtherDomain, true));
+  applyCommand(State, SetConfig{{1, "text"}});
+  cr_assert_eq(applyCommand(State, Return), RoutingCommandOutcome::Accepted);
+  cr_assert_eq(applyCommand(State, Change(Domain, true)),
+               RoutingCommandOutcome::Accepted);
+  const RoutingState Expected = State;
+  cr_assert_eq(applyCommand(State, Return), RoutingCommandOutcome::Outdated);
+  cr_assert(State == Expected);
+}
+
+// Guards against a core VM that cannot read the snapshot of an earlier release,
+// and against commands in its log that have no effect.
+Test(routing_state, reads_state_of_earlier_release) {
+  const std::set<FailureDomain> Out{FailureDomain{"north"}};
+  const std::string Bytes = encode(std::uint64_t{5}) +
+                            encode(ConfigText{3, "text"}) + encode(Out) +
+                            encode(std::uint32_t{2});
+  auto Decoded = decodeState(Bytes);
+  cr_assert(isOk(Decoded));
+  RoutingState &State = valueOf(Decoded);
+  cr_assert(State == RoutingState({5, {3, "text"}, Out, 2, {}}));
+  cr_assert_eq(applyCommand(State, SetDomainOut{FailureDomain{"north"}, false}),
+               RoutingCommandOutcome::Accepted);
+  cr_assert_eq(lastChange(State, FailureDomain{"north"}), 6U);
+  const auto Restored = decodeState(encode(State));
+  cr_assert(isOk(Restored) && valueOf(Restored) == State);
+  cr_assert_not(isOk(decodeState(Bytes.substr(1))));
+}
+
 // Guards against a command that is refused when it is resubmitted, against a
 // state that reverts, and against different content under an existing version.
 // The model applies the same commands sequentially.
