Apply a domain that is out to leafs that move into it

A leaf that keeps its id and is listed in another failure domain kept the state of the domain it came from: moved into one that is out of service it went on getting requests, and moved out of one it got none.

Cause: LeafDirectory::setList compared the domain with those that are out for leafs that it did not know, and setDomainsOut only when a command came. Found while looking for ways in which requests reach a domain that is out, without a case. The same function let a second entry with the same id overwrite the first one, whose service, address and domain then changed with each list.

Change: the domain of each entry is compared with each list, a leaf that returns to service in this way is probed first, and the first entry of an id counts.

Evidence: with the old function, leaf_directory/follows_leaf_to_other_domain failed in two of three cases; all pass with the change, as does leaf_directory/uses_first_entry_of_repeated_id.

--- a/src/ragwortdrift/dispatch/leaf_view.cpp
+++ b/src/ragwortdrift/dispatch/leaf_view.cpp
@@ -169,19 +169,24 @@
   std::map<LeafId, std::shared_ptr<LeafView>> Next;
   m_Services.clear();
   for (const ListedLeaf &Listed : List) {
+    // The first of several entries with the same id counts.
+    if (Next.contains(Listed.m_Id))
+      continue;
+    const bool IsOut = m_DomainsOut.contains(Listed.m_Domain);
     std::shared_ptr<LeafView> View;
     const auto Existing = m_Leafs.find(Listed.m_Id);
     if (Existing != m_Leafs.end()) {
       View = Existing->second;
-      if (View->update(Listed, Now))
+      const bool Returned = View->domainOut() && !IsOut;
+      if (View->update(Listed, Now) || Returned)
         ToVerify.push_back(View);
     } else {
       View = std::make_shared<LeafView>(Listed);
       View->update(Listed, Now);
-      View->setDomainOut(m_DomainsOut.contains(Listed.m_Domain));
     }
-    if (Next.emplace(Listed.m_Id, View).second)
-      m_Services[Listed.m_Service].push_back(View);
+    View->setDomainOut(IsOut);
+    Next.emplace(Listed.m_Id, View);
+    m_Services[Listed.m_Service].push_back(View);
   }
   for (const auto &[Id, View] : m_Leafs)
     if (!Next.contains(Id))
