--- a/include/ragwortdrift/fleet/leaf_list_reader.hpp
+++ b/include/ragwortdrift/fleet/leaf_list_reader.hpp
@@ -67,6 +67,8 @@
   LeafListFormat m_Format;
   std::shared_ptr<HttpClientConnection> m_Connection;
   LeafList m_Leafs;
+  /// Ids in m_Leafs. Of several entries with the same id the first one counts.
+  std::set<LeafId> m_Ids;
   std::size_t m_PageCount = 0;
   std::size_t m_Skipped = 0;
   std::uint64_t m_CallCount = 0;
--- a/src/ragwortdrift/fleet/leaf_list_reader.cpp
+++ b/src/ragwortdrift/fleet/leaf_list_reader.cpp
@@ -34,6 +34,7 @@
     return;
   m_Callback = std::move(OnRead);
   m_Leafs.clear();
+  m_Ids.clear();
   m_PageCount = 0;
   m_Skipped = 0;
   requestPage({});
@@ -85,7 +86,11 @@
   if (!isOk(ParseResult))
     return finishRead(errorOf(ParseResult));
   LeafListPage &Page = valueOf(ParseResult);
-  m_Leafs.insert(m_Leafs.end(), Page.m_Leafs.begin(), Page.m_Leafs.end());
+  for (ListedLeaf &Leaf : Page.m_Leafs)
+    if (m_Ids.insert(Leaf.m_Id).second)
+      m_Leafs.push_back(std::move(Leaf));
+    else
+      ++m_Skipped;
   m_Skipped += Page.m_Skipped;
   if (Page.m_NextToken.empty()) {
     if (m_Skipped > 0)
