--- a/src/ragwortdrift/dispatch/leaf_pool.cpp
+++ b/src/ragwortdrift/dispatch/leaf_pool.cpp
@@ -169,7 +169,7 @@
                                         const std::string &RequestId) {
   auto &Idle = Upstream.m_IdleConnections;
   for (std::size_t I = Idle.size(); I-- > 0;) {
-    const Connection Conn = Idle[I].m_Connection;
+    Connection Conn = Idle[I].m_Connection;
     if (!Conn->usable() ||
         m_Timers.now() - Idle[I].m_IdleSince >= Idle[I].m_IdleTimeout) {
       Idle.erase(Idle.begin() + static_cast<std::ptrdiff_t>(I));
