Let the watches of the memory test connect again on a busy machine

Cause, of the test and not of the program: a peer client gives up a connection after 250 ms. Entry VMs connect again; the watches of the test did not, so one that failed to connect was waited for in vain.

Evidence: with 24 copies of the test at once, 18 and 19 of 24 failed; every failed copy had 9 to 23 watches that ended with connect_failed before the first byte, every passed copy none. With watches that connect again until they have received something, 24 of 24 passed, twice. The bounds are unchanged.

--- a/src/ragwortdrift/fleet/watcher_memory_test.cpp
+++ b/src/ragwortdrift/fleet/watcher_memory_test.cpp
@@ -39,23 +39,32 @@
   return Text + "]}";
 }
 
-/// A watch that only counts what it receives.
+/// A watch that only counts what it receives. Like an entry VM it connects
+/// again until it has received something: on a busy machine a connection may
+/// take longer than the client waits for it.
 struct CountingWatch {
-  CountingWatch(asio::io_context &Io, const Endpoint &Core,
-                const std::string &Name)
-      : m_Driver(Io, m_Timers), m_Client(Io, m_Timers, PeerKey{}, VmId{Name}) {
+  CountingWatch(asio::io_context &Io, Endpoint Core, const std::string &Name)
+      : m_Core(std::move(Core)), m_Driver(Io, m_Timers),
+        m_Client(Io, m_Timers, PeerKey{}, VmId{Name}) {
     m_Driver.start();
+    open();
+  }
+  void open() {
     m_Call = m_Client.open(
-        Core.m_Ip, Core.m_Port, "/watch", encode(WatchRequest{}), 1h,
+        m_Core.m_Ip, m_Core.m_Port, "/watch", encode(WatchRequest{}), 1h,
         [this](const std::string &Message) { m_Bytes += Message.size(); },
-        [this](const Result<Done, PeerError> &) { m_Ended = true; });
+        [this](const Result<Done, PeerError> &) {
+          if (m_Bytes == 0)
+            m_Retry = m_Timers.after(50ms, [this] { open(); });
+        });
   }
+  Endpoint m_Core;
   TimerService m_Timers;
   AsioTimerDriver m_Driver;
   PeerClient m_Client;
   std::size_t m_Bytes = 0;
-  bool m_Ended = false;
   PeerCall m_Call;
+  TimerService::Subscription m_Retry;
 };
 
 } // namespace
