--- a/include/ragwortdrift/dispatch/dispatcher.hpp
+++ b/include/ragwortdrift/dispatch/dispatcher.hpp
@@ -29,9 +29,9 @@
   std::optional<RolloutBounds> m_Rollouts;
   /// Requests in flight above which new ones are refused.
   std::size_t m_MaxInFlight = 400;
-  /// Bytes of request bodies in flight above which new requests are refused.
-  /// The body of a search counts once for each shard, since each attempt has a
-  /// copy.
+  /// Bytes of request bodies and large headers in flight above which new
+  /// requests are refused. Those of a search count once for each shard, since
+  /// each attempt has a copy.
   std::size_t m_MaxInFlightBytes = std::size_t{16} * 1024 * 1024;
   /// Longest time after its acceptance for which a new configuration is held
   /// while its services cannot serve as well as those in force.
@@ -243,6 +243,7 @@
 
   // Checks of a new request, in this order. Each returns the refusal of a
   // request that fails it.
+  std::optional<Refusal> checkFields(const HttpRequest &Request) const;
   std::optional<Refusal> findRoute(const HttpRequest &Request,
                                    Admission &Out) const;
   std::optional<Refusal> checkAccount(const HttpRequest &Request,
--- a/include/ragwortdrift/net/http_client.hpp
+++ b/include/ragwortdrift/net/http_client.hpp
@@ -61,6 +61,7 @@
   void read();
   void onRead(const boost::system::error_code &Error, std::size_t Size);
   void finish(Result<HttpResponse, HttpError> Outcome);
+  void onHandlerFailed();
   void closeSocket();
 
   boost::asio::ip::tcp::socket m_Socket;
--- a/include/ragwortdrift/net/http_types.hpp
+++ b/include/ragwortdrift/net/http_types.hpp
@@ -8,11 +8,42 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <string>
+#include <vector>
 
 namespace ragwortdrift {
 
-using HttpRequest =
-    boost::beast::http::request<boost::beast::http::string_body>;
+/// Largest name and largest value of a header field that Beast's containers
+/// hold; they throw if one is larger.
+constexpr std::size_t MaxFieldBytes = 65'533;
+
+/// A header field whose name or value exceeds MaxFieldBytes.
+struct LargeField {
+  std::string m_Name;
+  std::string m_Value;
+};
+
+/// A request. Header fields that Beast's container cannot hold are kept beside
+/// it. They are passed on to the next hop and never read.
+struct HttpRequest
+    : boost::beast::http::request<boost::beast::http::string_body> {
+  using Base = boost::beast::http::request<boost::beast::http::string_body>;
+  using Base::Base;
+  HttpRequest() = default;
+  explicit HttpRequest(Base &&Message) : Base(std::move(Message)) {}
+
+  std::vector<LargeField> m_LargeFields;
+};
+
+/// Returns the bytes of a request's header fields and of its body.
+inline std::size_t requestBytes(const HttpRequest &Request) {
+  std::size_t Bytes = Request.target().size() + Request.body().size();
+  for (const auto &Field : Request)
+    Bytes += Field.name_string().size() + Field.value().size();
+  for (const LargeField &Field : Request.m_LargeFields)
+    Bytes += Field.m_Name.size() + Field.m_Value.size();
+  return Bytes;
+}
+
 using HttpResponse =
     boost::beast::http::response<boost::beast::http::string_body>;
 
--- a/src/ragwortdrift/dispatch/active_request.cpp
+++ b/src/ragwortdrift/dispatch/active_request.cpp
@@ -30,8 +30,6 @@
 /// to arrive anyway.
 constexpr double HedgeMinMedians = 2;
 
-/// Largest value of a header field; Beast throws if one is larger.
-constexpr std::size_t MaxFieldBytes = 65'533;
 /// Bytes between two signatures in the response to a search.
 constexpr std::size_t SignatureSeparatorBytes = 2;
 
--- a/src/ragwortdrift/dispatch/dispatcher.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher.cpp
@@ -19,6 +19,10 @@
 constexpr std::chrono::milliseconds BusyRetryAfter{100};
 constexpr std::chrono::milliseconds StartRetryAfter{500};
 
+/// Bytes of a request's header that do not count: the bound on the number of
+/// requests covers headers of usual size.
+constexpr std::size_t FreeHeaderBytes = 1024;
+
 void setRetryAfter(HttpResponse &Out, Duration RetryAfter) {
   const auto Millis =
       std::chrono::duration_cast<std::chrono::milliseconds>(RetryAfter).count();
@@ -45,7 +49,10 @@
 }
 
 std::size_t requestBytes(const Route &Target, const HttpRequest &Request) {
-  return Request.body().size() *
+  const std::size_t HeaderBytes = requestBytes(Request) - Request.body().size();
+  const std::size_t Bytes = Request.body().size() + HeaderBytes -
+                            std::min(HeaderBytes, FreeHeaderBytes);
+  return Bytes *
          (Target.m_Kind == RouteKind::Search ? Target.m_Services.size() : 1);
 }
 
@@ -266,6 +273,26 @@
                {"in_flight", m_InFlight}});
 }
 
+std::optional<Dispatcher::Refusal>
+Dispatcher::checkFields(const HttpRequest &Request) const {
+  // A large field is passed on unread, which must not get past the fields that
+  // this VM reads or sets.
+  const auto IsOwnField = [this](const LargeField &Field) {
+    const std::string *OwnFields[] = {
+        &m_Protocol.m_RequestId, &m_Protocol.m_TimeLeft,
+        &m_Protocol.m_ExpectedLeaf, &m_Protocol.m_AccountKey,
+        &m_Protocol.m_AccountName};
+    return std::ranges::any_of(OwnFields, [&](const std::string *Name) {
+      return boost::beast::iequals(*Name, Field.m_Name);
+    });
+  };
+  if (std::ranges::none_of(Request.m_LargeFields, IsOwnField))
+    return std::nullopt;
+  return Refusal{
+      jsonResponse(431, R"({"error":"header_too_large","not_run":true})"),
+      "header_too_large"};
+}
+
 std::optional<Dispatcher::Refusal>
 Dispatcher::findRoute(const HttpRequest &Request, Admission &Out) const {
   if (!routes())
@@ -334,7 +361,9 @@
   if (holdsRoutes())
     applyHeldRoutes();
   Admission Admitted;
-  auto Refused = findRoute(Request, Admitted);
+  auto Refused = checkFields(Request);
+  if (!Refused)
+    Refused = findRoute(Request, Admitted);
   if (!Refused)
     Refused = checkAccount(Request, Admitted);
   if (!Refused)
--- a/src/ragwortdrift/fleet/core_node.cpp
+++ b/src/ragwortdrift/fleet/core_node.cpp
@@ -3,6 +3,7 @@
 #include "ragwortdrift/base/hash.hpp"
 #include "ragwortdrift/base/heap_usage.hpp"
 #include "ragwortdrift/base/log.hpp"
+#include "ragwortdrift/net/handler_guard.hpp"
 
 #include <boost/asio/post.hpp>
 
@@ -546,6 +547,8 @@
   if (const auto Age = confirmedAge())
     m_Metrics.gauge("ragwortdrift_config_confirmed_age_seconds")
         .set(std::chrono::duration<double>(*Age).count());
+  m_Metrics.gauge("ragwortdrift_handler_failures")
+      .set(static_cast<double>(HandlerFailures));
   m_Metrics.gauge("ragwortdrift_watchers")
       .set(static_cast<double>(m_Watchers.size()));
   m_Metrics.gauge("ragwortdrift_states_sent")
--- a/src/ragwortdrift/fleet/entry_traffic.cpp
+++ b/src/ragwortdrift/fleet/entry_traffic.cpp
@@ -4,6 +4,7 @@
 #include "ragwortdrift/base/hash.hpp"
 #include "ragwortdrift/dispatch/active_request.hpp"
 #include "ragwortdrift/dispatch/parse_millis.hpp"
+#include "ragwortdrift/net/handler_guard.hpp"
 
 #include <random>
 
@@ -307,6 +308,8 @@
       .set(static_cast<double>(m_CallerServer.counts().m_RefusedMessages));
   Metrics.gauge("ragwortdrift_caller_connections_dropped")
       .set(static_cast<double>(m_CallerServer.counts().m_DroppedConnections));
+  Metrics.gauge("ragwortdrift_handler_failures")
+      .set(static_cast<double>(HandlerFailures));
   const auto &Routes = m_Dispatcher.routes();
   Metrics.gauge("ragwortdrift_config_version")
       .set(static_cast<double>(Routes ? Routes->config().m_Version : 0));
--- a/src/ragwortdrift/net/http_client.cpp
+++ b/src/ragwortdrift/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "ragwortdrift/net/http_client.hpp"
 #include "message_parser.hpp"
+#include "ragwortdrift/net/handler_guard.hpp"
 
 #include <boost/asio/post.hpp>
 
@@ -27,6 +28,17 @@
   Out.append(Text.data(), Text.size());
 }
 
+/// Sets the length of the body. Beast's prepare_payload() throws for a method
+/// that has no body.
+void setContentLength(HttpRequest &Request) {
+  const http::verb Method = Request.method();
+  if (!Request.body().empty() || Method == http::verb::options ||
+      Method == http::verb::put || Method == http::verb::post)
+    Request.content_length(Request.body().size());
+  else
+    Request.chunked(false);
+}
+
 /// Returns the bytes of a request.
 std::string serialize(const HttpRequest &Request) {
   std::string Out;
@@ -40,6 +52,8 @@
     append(Out, Field.value());
     Out += "\r\n";
   }
+  for (const LargeField &Field : Request.m_LargeFields)
+    Out += Field.m_Name + ": " + Field.m_Value + "\r\n";
   Out += "\r\n";
   Out += Request.body();
   return Out;
@@ -110,7 +124,7 @@
                                 std::optional<Duration> Timeout, Callback Fn) {
   m_Busy = true;
   m_Callback = std::move(Fn);
-  Request.prepare_payload();
+  setContentLength(Request);
   m_Request = serialize(Request);
   m_BytesWritten = 0;
   m_Parser->begin(ResponseLimits);
@@ -151,7 +165,9 @@
       [Weak = weak_from_this()](const beast::error_code &Error,
                                 std::size_t Size) {
         if (const auto Self = Weak.lock())
-          Self->onRead(Error, Size);
+          runGuarded(
+              Self->m_Socket, [&] { Self->onRead(Error, Size); },
+              [&] { Self->onHandlerFailed(); });
       });
 }
 
@@ -192,6 +208,12 @@
   finish(std::move(Response));
 }
 
+void HttpClientConnection::onHandlerFailed() {
+  closeSocket();
+  finish(HttpError{HttpErrorCode::BadResponse, m_BytesWritten > 0,
+                   "the response could not be handled"});
+}
+
 void HttpClientConnection::timeOut() {
   closeSocket();
   finish(HttpError{HttpErrorCode::Timeout, m_BytesWritten > 0, "timed out"});
--- a/src/ragwortdrift/net/http_server.cpp
+++ b/src/ragwortdrift/net/http_server.cpp
@@ -1,6 +1,9 @@
 #include "ragwortdrift/net/http_server.hpp"
+#include "ragwortdrift/net/handler_guard.hpp"
 #include "request_reader.hpp"
 
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
 #include <optional>
@@ -36,6 +39,12 @@
       R"({"error":"too_large","not_run":true,"detail":"the request exceeds the size limit"})");
 }
 
+HttpResponse headerTooLargeResponse() {
+  return jsonResponse(
+      431,
+      R"({"error":"header_too_large","not_run":true,"detail":"the header exceeds the size limit"})");
+}
+
 HttpResponse malformedResponse() {
   return jsonResponse(
       400,
@@ -51,8 +60,9 @@
 /// Returns the refusal for a request that cannot be read, or nothing if the
 /// caller is gone or too slow.
 std::optional<HttpResponse> readErrorResponse(beast::error_code Error) {
-  if (Error == http::error::body_limit || Error == http::error::header_limit ||
-      Error == http::error::buffer_overflow)
+  if (Error == http::error::header_limit)
+    return headerTooLargeResponse();
+  if (Error == http::error::body_limit || Error == http::error::buffer_overflow)
     return tooLargeResponse();
   const bool IsMalformed =
       Error.category() == make_error_code(http::error::bad_method).category() &&
@@ -68,7 +78,7 @@
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
 public:
   HttpConnection(tcp::socket Socket, HttpServer &Server)
-      : m_Stream(std::move(Socket)), m_Server(Server), m_Reader(m_Stream) {}
+      : m_Stream(std::move(Socket)), m_Server(Server) {}
 
   void start() { awaitRequest(); }
 
@@ -113,12 +123,23 @@
   }
 
 private:
+  /// Wraps a handler so that an exception ends this connection alone.
+  template <class Handler> auto guarded(Handler Fn) {
+    return [Self = shared_from_this(),
+            Fn = std::move(Fn)](beast::error_code Error, std::size_t Size) {
+      runGuarded(
+          Self->m_Stream.socket(), [&] { Fn(Error, Size); },
+          [&] { Self->onHandlerFailed(); });
+    };
+  }
+
   void awaitRequest() {
     const HttpLimits &Limits = m_Server.m_Limits;
     m_Reader.begin({Limits.m_MaxHeaderBytes, Limits.m_MaxBodyBytes});
     m_WaitingSince = std::chrono::steady_clock::now();
     m_Stream.expires_after(m_Reader.heldBytes() == 0 ? Limits.m_IdleTimeout
                                                      : Limits.m_HeaderTimeout);
+    m_HeaderArrived = false;
     readHeader();
   }
 
@@ -126,43 +147,61 @@
   void awaitEnd() {
     m_Stream.socket().async_read_some(
         asio::buffer(&m_IgnoredByte, 1),
-        [Self = shared_from_this()](beast::error_code Error, std::size_t) {
+        guarded([this](beast::error_code Error, std::size_t) {
           if (Error)
-            Self->onReadError(Error);
-        });
+            onReadError(Error);
+        }));
   }
 
   void readHeader() {
-    if (m_Reader.hasHeader()) {
-      m_Reader.parseHeader(
-          [Self = shared_from_this()](beast::error_code Error) {
-            Error ? Self->onReadError(Error) : Self->readBody();
-          });
+    if (m_ReadEnded)
       return;
-    }
-    m_Reader.receive([Self = shared_from_this(),
-                      IsFirst =
-                          m_Reader.heldBytes() == 0](beast::error_code Error) {
-      if (Error) {
-        Self->onReadError(Error);
-        return;
-      }
-      if (IsFirst)
-        Self->m_Stream.expires_after(Self->m_Server.m_Limits.m_HeaderTimeout);
-      Self->onProgress();
-      Self->readHeader();
-    });
+    if (!m_Reader.hasHeader())
+      return receive();
+    m_HeaderArrived = true;
+    m_Stream.expires_after(m_Server.m_Limits.m_BodyTimeout);
+    // The request before this one is handled first.
+    asio::post(m_Stream.get_executor(),
+               [Continue = guarded([this](beast::error_code, std::size_t) {
+                  readMessage();
+                })] { Continue({}, 0); });
   }
 
-  void readBody() {
+  /// Reads up to the end of the request. Called again whenever bytes arrive.
+  void readMessage() {
     if (m_ReadEnded)
       return;
-    m_Stream.expires_after(m_Server.m_Limits.m_BodyTimeout);
-    m_Reader.readMessage(
-        [Self = shared_from_this()](beast::error_code Error) {
-          Error ? Self->onReadError(Error) : Self->onRequestRead();
-        },
-        [Self = shared_from_this()] { Self->onProgress(); });
+    const beast::error_code Error = m_Reader.parse();
+    if (Error)
+      return onReadError(Error);
+    if (m_Reader.isDone())
+      return onRequestRead();
+    onProgress();
+    receive();
+  }
+
+  void receive() {
+    m_Stream.async_read_some(
+        m_Reader.prepare(),
+        guarded([this, IsFirst = m_Reader.heldBytes() ==
+                                 0](beast::error_code Error, std::size_t Size) {
+          m_Reader.commit(Size);
+          if (Error == asio::error::eof && m_HeaderArrived)
+            Error = m_Reader.parseEnd();
+          if (Error)
+            return onReadError(Error);
+          if (m_ReadEnded)
+            return;
+          if (IsFirst)
+            m_Stream.expires_after(m_Server.m_Limits.m_HeaderTimeout);
+          onProgress();
+          m_HeaderArrived ? readMessage() : readHeader();
+        }));
+  }
+
+  void onHandlerFailed() {
+    endRead();
+    shutdown();
   }
 
   /// Called when a part of a request has arrived.
@@ -177,8 +216,8 @@
   void countRequestBytes() {
     const std::size_t Bytes =
         (m_ReadEnded || m_NextRequest ? 0 : m_Reader.heldBytes()) +
-        (m_NextRequest ? m_NextRequest->body().size() : 0) +
-        (m_Current ? m_Current->request().body().size() : 0);
+        (m_NextRequest ? requestBytes(*m_NextRequest) : 0) +
+        (m_Current ? requestBytes(m_Current->request()) : 0);
     m_Server.m_RequestBytes += Bytes;
     m_Server.m_RequestBytes -= std::exchange(m_RequestBytes, Bytes);
   }
@@ -187,6 +226,12 @@
     if (m_ReadEnded)
       return;
     m_NextRequest = m_Reader.release();
+    // RFC 9110, section 9.3.8: a TRACE request has no content.
+    if (m_NextRequest->method() == http::verb::trace &&
+        !m_NextRequest->body().empty()) {
+      m_NextRequest.reset();
+      return onReadError(http::error::bad_method);
+    }
     m_HasSentRequest = true;
     countRequestBytes();
     dispatchNext();
@@ -205,7 +250,9 @@
     ++m_Server.m_OpenExchanges;
     m_Current->m_Respond = [Weak = weak_from_this()](HttpResponse Response) {
       if (auto Self = Weak.lock())
-        Self->write(std::move(Response));
+        runGuarded(
+            Self->m_Stream.socket(), [&] { Self->write(std::move(Response)); },
+            [&] { Self->onHandlerFailed(); });
     };
     auto Exchange = m_Current;
     // A pending read detects a caller that disconnects before the response.
@@ -242,18 +289,17 @@
     m_Response = std::move(Response);
     m_Response.prepare_payload();
     m_Stream.expires_after(m_Server.m_Limits.m_WriteTimeout);
-    http::async_write(
-        m_Stream, m_Response,
-        [Self = shared_from_this()](beast::error_code Error, auto) {
-          Self->m_Writing = false;
-          if (Error || !Self->m_KeepAlive) {
-            Self->shutdown();
-            return;
-          }
-          // The time without an exchange begins here.
-          Self->m_WaitingSince = std::chrono::steady_clock::now();
-          Self->dispatchNext();
-        });
+    http::async_write(m_Stream, m_Response,
+                      guarded([this](beast::error_code Error, std::size_t) {
+                        m_Writing = false;
+                        if (Error || !m_KeepAlive) {
+                          shutdown();
+                          return;
+                        }
+                        // The time without an exchange begins here.
+                        m_WaitingSince = std::chrono::steady_clock::now();
+                        dispatchNext();
+                      }));
   }
 
   /// Marks the pending read as abandoned; its handler then has no effect.
@@ -316,6 +362,8 @@
   std::chrono::steady_clock::time_point m_WaitingSince;
   std::size_t m_RequestBytes = 0;
   char m_IgnoredByte = 0;
+  /// The end of the header has arrived of the request that is being read.
+  bool m_HeaderArrived = false;
   bool m_HasSentRequest = false;
   bool m_ReadEnded = false;
   bool m_Writing = false;
--- a/src/ragwortdrift/net/message_parser.hpp
+++ b/src/ragwortdrift/net/message_parser.hpp
@@ -1,6 +1,9 @@
 #ifndef RAGWORTDRIFT_NET_MESSAGE_PARSER_HPP
 #define RAGWORTDRIFT_NET_MESSAGE_PARSER_HPP
 
+#include "ragwortdrift/net/hop_by_hop.hpp"
+#include "ragwortdrift/net/http_types.hpp"
+
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -16,14 +19,44 @@
   std::uint64_t m_MaxBodyBytes = 0;
 };
 
+/// Beast's parser with room for fields that its container does not hold. It
+/// keeps those of requests, except fields that frame or route the message, and
+/// reports header_limit for all others.
+template <bool IsRequest>
+class FieldParser
+    : public boost::beast::http::parser<IsRequest,
+                                        boost::beast::http::string_body> {
+public:
+  std::vector<LargeField> releaseLargeFields() {
+    return std::move(m_LargeFields);
+  }
+
+private:
+  void on_field_impl(boost::beast::http::field Id,
+                     boost::beast::string_view Name,
+                     boost::beast::string_view Value,
+                     boost::beast::error_code &Error) override {
+    if (Name.size() <= MaxFieldBytes && Value.size() <= MaxFieldBytes) {
+      this->get().insert(Id, Name, Value);
+      return;
+    }
+    if (!IsRequest || isHopByHop(Id) || Id == boost::beast::http::field::host) {
+      Error = boost::beast::http::error::header_limit;
+      return;
+    }
+    m_LargeFields.push_back({std::string(Name), std::string(Value)});
+  }
+
+  std::vector<LargeField> m_LargeFields;
+};
+
 /// Parses the HTTP messages of one connection, one after the other, from the
 /// bytes that are received. Besides the header and the body it bounds the bytes
 /// that belong to neither: chunk extensions, trailers and interim responses.
 /// Beast's parser alone takes those without a limit.
 template <bool IsRequest> class MessageParser {
 public:
-  using Parser =
-      boost::beast::http::parser<IsRequest, boost::beast::http::string_body>;
+  using Parser = FieldParser<IsRequest>;
   using ErrorCode = boost::beast::error_code;
 
   /// Begins the next message. Bytes that have arrived behind the previous one
@@ -83,15 +116,21 @@
   }
 
   bool isDone() const { return m_Parser->is_done(); }
-  auto release() { return m_Parser->release(); }
+  auto release() {
+    if constexpr (IsRequest) {
+      HttpRequest Request(m_Parser->release());
+      Request.m_LargeFields = m_Parser->releaseLargeFields();
+      return Request;
+    } else {
+      return m_Parser->release();
+    }
+  }
   /// Bytes that have arrived and are not parsed yet.
   std::size_t unparsedBytes() const { return m_Buffer.size(); }
   /// Upper bound of the memory that the current message takes.
   std::size_t heldBytes() const { return m_BytesParsed + m_Buffer.size(); }
 
 protected:
-  void addParsedBytes(std::size_t Size) { m_BytesParsed += Size; }
-
   boost::beast::flat_buffer m_Buffer;
   std::optional<Parser> m_Parser;
   MessageLimits m_Limits;
--- a/src/ragwortdrift/net/peer_session.cpp
+++ b/src/ragwortdrift/net/peer_session.cpp
@@ -1,5 +1,7 @@
 #include "ragwortdrift/net/peer_session.hpp"
 
+#include "ragwortdrift/net/handler_guard.hpp"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
@@ -306,7 +308,7 @@
   while (!m_Events.empty()) {
     const auto Event = std::move(m_Events.front());
     m_Events.pop_front();
-    Event();
+    runGuarded(m_Socket, Event, [this] { close(PeerErrorCode::Protocol); });
   }
   m_RunningEvents = false;
 }
