--- a/include/ragwortdrift/consensus/replicated_log.hpp
+++ b/include/ragwortdrift/consensus/replicated_log.hpp
@@ -81,6 +81,8 @@
   std::size_t m_LogBytes = 0;
   std::vector<Member> m_Voters;
   std::vector<Member> m_Learners;
+  /// False while a change of the members is in the log but not committed.
+  bool m_IsMembershipCommitted = false;
   StoreId m_StoreId;
   std::uint64_t m_SyncCount = 0;
   std::optional<StoreError> m_StoreError;
--- a/include/ragwortdrift/consensus/replicated_log_impl.hpp
+++ b/include/ragwortdrift/consensus/replicated_log_impl.hpp
@@ -122,6 +122,7 @@
   Status.m_LogBytes = m_Core->log().bytes();
   Status.m_Voters = m_Core->membership().m_Voters;
   Status.m_Learners = m_Core->membership().m_Learners;
+  Status.m_IsMembershipCommitted = !m_Core->changeInProgress();
   return Status;
 }
 
--- a/include/ragwortdrift/fleet/core_node.hpp
+++ b/include/ragwortdrift/fleet/core_node.hpp
@@ -57,8 +57,11 @@
   void read(ReadCallback Callback);
   /// Sets the peer addresses used to discover the other core VMs.
   void setCores(std::vector<Endpoint> Cores);
-  /// Transfers leadership to another voter ahead of a shutdown.
-  void beginStop();
+  /// Prepares the end of this VM: transfers leadership to another voter and
+  /// requests to leave the voters, since a voter that is gone makes the next
+  /// loss fatal. Calls back when the VM may end: it is no voter any more, the
+  /// leader keeps it as one, or no leader has decided in time.
+  void beginStop(std::function<void()> OnReady);
   MetricsSnapshot metrics();
 
 private:
@@ -143,9 +146,16 @@
                      const StreamPtr &Response);
   /// Commits the number of entry VMs if it exceeds the recorded one.
   void recordEntryCount();
-  /// Removes one of the voters that have been silent for too long, the longest
-  /// silent first, while a majority of all voters responds.
-  void removeUnresponsiveVoter(const ReplicatedLogStatus &Status);
+  void onLeaveRequest(const VmId &Sender, const StreamPtr &Response);
+  /// Starts the next change of the voters while this VM leads and no other
+  /// change is pending; see planVoterChange().
+  void changeVoters();
+  void addVoter(const VmId &Vm, const std::string &Address);
+  void removeVoter(const VmId &Vm);
+  void onVoterChanged(bool IsDone);
+  /// Requests the leader to remove this VM from the voters, until it decides.
+  void requestLeave();
+  void finishStop(std::string_view Outcome);
   std::vector<std::string> otherCoreAddresses() const;
 
   // Watchers.
@@ -262,14 +272,25 @@
   std::string m_LeaderHint;
   std::size_t m_NextForwardIndex = 0;
   TimePoint m_LeaderSeenAt;
-  /// Last time at which a join was refused because the number of voters was at
-  /// its maximum.
-  TimePoint m_JoinRefusedAt;
+  struct JoinCandidate {
+    std::string m_Address;
+    TimePoint m_RequestedAt;
+  };
+  /// Core VMs that have requested to join.
+  std::map<VmId, JoinCandidate> m_JoinCandidates;
+  /// Times at which voters requested to leave.
+  std::map<VmId, TimePoint> m_LeavingVoters;
   bool m_LedAtLastCheck = false;
   bool m_CanServeState = false;
   bool m_VoterChangePending = false;
   bool m_EntryCountPending = false;
   bool m_Stopping = false;
+  std::function<void()> m_OnStopReady;
+  TimePoint m_StopRequestedAt;
+  TimerService::Subscription m_LeaveTimer;
+  PeerCall m_LeaveCall;
+  /// Address of the last known leader.
+  std::string m_LeaveTarget;
   std::map<std::uint64_t, Watcher> m_Watchers;
   std::uint64_t m_NextWatcherId = 0;
   std::uint64_t m_StatesSent = 0;
--- a/include/ragwortdrift/fleet/messages.hpp
+++ b/include/ragwortdrift/fleet/messages.hpp
@@ -231,6 +231,31 @@
   }
 };
 
+enum class LeaveOutcome {
+  /// The receiver does not lead.
+  NotLeader,
+  /// The sender is still a voter; a change of the voters is in progress.
+  Pending,
+  /// The sender is no voter any more.
+  Left,
+  /// The sender stays a voter, since the others alone would tolerate fewer
+  /// losses.
+  Stays
+};
+template <> struct EnumNames<LeaveOutcome> {
+  using Row = EnumName<LeaveOutcome>;
+  static constexpr std::array Entries{
+      Row{LeaveOutcome::NotLeader, "not_leader"},
+      Row{LeaveOutcome::Pending, "pending"}, Row{LeaveOutcome::Left, "left"},
+      Row{LeaveOutcome::Stays, "stays"}};
+};
+
+/// Response to a core VM that stops and requests to leave the voters.
+struct LeaveReply {
+  LeaveOutcome m_Outcome{};
+  template <class Archive> void serialize(Archive &Ar) { Ar(m_Outcome); }
+};
+
 struct JoinReply {
   /// Address of the leader, empty if unknown.
   std::string m_Leader;
--- a/src/ragwortdrift/consensus/consensus_fuzz_main.cpp
+++ b/src/ragwortdrift/consensus/consensus_fuzz_main.cpp
@@ -72,7 +72,7 @@
     ("seeds", po::value(&Seeds)->required(), "range of seeds A..B, inclusive")
     ("seconds", po::value(&Seconds)->default_value(20), "virtual seconds with faults per seed")
     ("jobs", po::value(&Options.m_Jobs)->default_value(4), "number of threads")
-    ("profile", po::value(&Profile)->default_value("mixed"), "fault profile: mixed or churn")
+    ("profile", po::value(&Profile)->default_value("mixed"), "fault profile: mixed, churn or replacement")
     ("trace", po::bool_switch(&Options.m_Trace), "trace faults and membership changes");
   // clang-format on
   try {
--- a/src/ragwortdrift/consensus/consensus_fuzz_test.cpp
+++ b/src/ragwortdrift/consensus/consensus_fuzz_test.cpp
@@ -56,6 +56,13 @@
     runSeed(Seed, 40s, FuzzProfile::Churn);
 }
 
+// Checks the same invariants while voters are replaced as planned and a disk is
+// lost as soon as the former voter has stopped.
+TABLE_TEST(consensus_fuzz, invariants_hold_under_replacements, SeedBlocks) {
+  for (std::uint64_t Seed = Row; Seed < Row + BlockSize; ++Seed)
+    runSeed(Seed, 20s, FuzzProfile::Replacement);
+}
+
 TABLE_TEST(consensus_fuzz, regression_seeds_pass, RegressionSeeds) {
   runSeed(Row, 40s);
 }
--- a/src/ragwortdrift/fleet/core_membership.cpp
+++ b/src/ragwortdrift/fleet/core_membership.cpp
@@ -1,5 +1,6 @@
 #include "ragwortdrift/base/log.hpp"
 #include "ragwortdrift/fleet/core_node.hpp"
+#include "ragwortdrift/fleet/voter_plan.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -8,24 +9,15 @@
 
 namespace {
 
-/// More voters would only make each commit wait for more disks; five tolerate
-/// the loss of two.
-constexpr std::size_t MaxVoters = 5;
-/// Fewer voters would not tolerate the loss of one.
-constexpr std::size_t MinVoters = 3;
-/// A voter that sends nothing for this long is removed while there are more
-/// than MinVoters. Network partitions and restarts are shorter; a VM that
-/// returns joins again.
-constexpr std::chrono::seconds UnresponsiveVoterTimeout{12};
-/// Timeout that applies instead while the voter is redundant: the number of
-/// voters is even, so its vote only raises the majority, or another core VM has
-/// been refused for lack of a free place. A lost voter that still counts beside
-/// its replacement makes the next loss fatal.
-constexpr std::chrono::seconds RedundantVoterTimeout{3};
 /// A core VM that has had no leader for this long requests to join.
 constexpr std::chrono::seconds NoLeaderTimeout{2};
 /// Joins are repeated every 500 ms, so a later response is of no use.
 constexpr std::chrono::milliseconds JoinTimeout{800};
+/// Joins are repeated every 500 ms; a core VM that has stopped requesting is no
+/// candidate any more.
+constexpr std::chrono::seconds CandidateRetention{2};
+/// Longest stop of a VM after its request to leave.
+constexpr std::chrono::seconds LeavingRetention{10};
 /// Time for which an entry VM is counted after it was last seen. Keeps the
 /// shares of fleet-wide budgets from growing while VMs restart.
 constexpr std::chrono::seconds EntryRetention{30};
@@ -66,7 +58,7 @@
   }
   if (m_LedAtLastCheck) {
     m_LeaderSeenAt = m_Timers.now();
-    removeUnresponsiveVoter(Status);
+    changeVoters();
     recordEntryCount();
     return;
   }
@@ -115,82 +107,125 @@
   Response->send(encode(Reply));
   Response->finish();
   m_OtherCoreAddresses.insert(Request.m_Address);
-  if (!isLeader() || m_VoterChangePending || m_Stopping)
+  // A VM that stopped and is back stays.
+  m_LeavingVoters.erase(Sender);
+  if (!m_Log || m_Stopping)
     return;
   const ReplicatedLogStatus Status = m_Log->status();
   const Member *Voter = findVoter(Status, Sender);
   if (Voter && Voter->m_Key.m_Store == Request.m_Store)
     return;
-  if (!Voter && Status.m_Voters.size() >= MaxVoters) {
-    m_JoinRefusedAt = m_Timers.now();
+  // Followers keep it as well, since one of them may lead soon.
+  m_JoinCandidates[Sender] = {Request.m_Address, m_Timers.now()};
+  if (Status.m_Role != RaftRole::Leader)
     return;
+  if (Voter)
+    addVoter(Sender, Request.m_Address);
+  else
+    changeVoters();
+}
+
+void CoreNode::onLeaveRequest(const VmId &Sender, const StreamPtr &Response) {
+  LeaveReply Reply{LeaveOutcome::NotLeader};
+  if (isLeader() && !m_Stopping) {
+    m_LeavingVoters[Sender] = m_Timers.now();
+    changeVoters();
+    const ReplicatedLogStatus Status = m_Log->status();
+    const bool IsVoter = findVoter(Status, Sender) != nullptr;
+    Reply.m_Outcome = m_VoterChangePending || !Status.m_IsMembershipCommitted
+                          ? LeaveOutcome::Pending
+                      : IsVoter ? LeaveOutcome::Stays
+                                : LeaveOutcome::Left;
+    logEvent(LogSeverity::Info, "voter.leaving",
+             {{"vm", Sender},
+              {"outcome", Reply.m_Outcome},
+              {"voters", Status.m_Voters.size()}});
   }
+  Response->send(encode(Reply));
+  Response->finish();
+}
+
+void CoreNode::changeVoters() {
+  if (!isLeader() || m_VoterChangePending || m_Stopping)
+    return;
+  const TimePoint Now = m_Timers.now();
+  std::erase_if(m_LeavingVoters, [&](const auto &Entry) {
+    return Now - Entry.second > LeavingRetention;
+  });
+  std::erase_if(m_JoinCandidates, [&](const auto &Entry) {
+    return Now - Entry.second.m_RequestedAt > CandidateRetention;
+  });
+  const ReplicatedLogStatus Status = m_Log->status();
+  std::vector<VoterView> Voters;
+  for (const Member &Voter : Status.m_Voters) {
+    const VmId &Vm = Voter.m_Key.m_Vm;
+    VoterView &View = Voters.emplace_back();
+    View.m_Vm = Vm;
+    if (Vm.m_Value == m_Address)
+      continue;
+    View.m_Silence =
+        Now - m_PeerLastContactAt.try_emplace(Vm, Now).first->second;
+    View.m_IsLeaving = m_LeavingVoters.contains(Vm);
+  }
+  std::optional<VmId> Candidate;
+  for (const auto &[Vm, Entry] : m_JoinCandidates)
+    if (!findVoter(Status, Vm) && !m_LeavingVoters.contains(Vm))
+      Candidate = Vm;
+  const VoterChange Change = planVoterChange(Voters, Candidate);
+  if (const auto *Addition = std::get_if<AddVoter>(&Change))
+    addVoter(Addition->m_Vm, m_JoinCandidates.at(Addition->m_Vm).m_Address);
+  else if (const auto *Removal = std::get_if<RemoveVoter>(&Change))
+    removeVoter(Removal->m_Vm);
+}
+
+void CoreNode::addVoter(const VmId &Vm, const std::string &Address) {
+  if (m_VoterChangePending)
+    return;
+  const ReplicatedLogStatus Status = m_Log->status();
   logEvent(LogSeverity::Info, "voter.adding",
-           {{"vm", Sender},
-            {"store", Request.m_Store},
-            {"replaces_store", Voter != nullptr},
+           {{"vm", Vm},
+            {"replaces_store", findVoter(Status, Vm) != nullptr},
             {"voters", Status.m_Voters.size()}});
   m_VoterChangePending = true;
-  m_PeerLastContactAt[Sender] = m_Timers.now();
+  m_PeerLastContactAt[Vm] = m_Timers.now();
   m_Log->addVoter(
-      Sender, Request.m_Address,
-      [this, Sender](const Result<Done, MembershipError> &AddResult) {
-        m_VoterChangePending = false;
+      Vm, Address, [this, Vm](const Result<Done, MembershipError> &AddResult) {
         logEvent(
             isOk(AddResult) ? LogSeverity::Info : LogSeverity::Warning,
             "voter.added",
-            {{"vm", Sender},
+            {{"vm", Vm},
              {"error", isOk(AddResult) ? std::string_view("none")
                                        : nameOf(errorOf(AddResult).m_Code)}});
+        onVoterChanged(isOk(AddResult));
       });
 }
 
-void CoreNode::removeUnresponsiveVoter(const ReplicatedLogStatus &Status) {
-  const bool IsRedundant = Status.m_Voters.size() % 2 == 0 ||
-                           m_Timers.now() - m_JoinRefusedAt < NoLeaderTimeout;
-  const Duration Timeout =
-      IsRedundant ? RedundantVoterTimeout : UnresponsiveVoterTimeout;
-  std::size_t ResponsiveCount = 0;
-  const Member *Unresponsive = nullptr;
-  TimePoint UnresponsiveSince;
-  for (const Member &Voter : Status.m_Voters) {
-    if (Voter.m_Key.m_Vm.m_Value == m_Address) {
-      ++ResponsiveCount;
-      continue;
-    }
-    const TimePoint LastContact =
-        m_PeerLastContactAt.try_emplace(Voter.m_Key.m_Vm, m_Timers.now())
-            .first->second;
-    if (m_Timers.now() - LastContact < Timeout) {
-      ++ResponsiveCount;
-    } else if (!Unresponsive || LastContact < UnresponsiveSince) {
-      Unresponsive = &Voter;
-      UnresponsiveSince = LastContact;
-    }
-  }
-  // Without a majority this VM may be the one that is cut off.
-  const bool HasMajority = 2 * ResponsiveCount > Status.m_Voters.size();
-  if (!Unresponsive || !HasMajority || m_VoterChangePending ||
-      Status.m_Voters.size() <= MinVoters)
-    return;
-  const VmId Vm = Unresponsive->m_Key.m_Vm;
+void CoreNode::removeVoter(const VmId &Vm) {
+  const ReplicatedLogStatus Status = m_Log->status();
+  const Member *Voter = findVoter(Status, Vm);
   logEvent(LogSeverity::Warning, "voter.removing",
            {{"vm", Vm},
             {"voters", Status.m_Voters.size()},
-            {"responsive", ResponsiveCount}});
+            {"leaving", m_LeavingVoters.contains(Vm)},
+            {"silence_ms", m_Timers.now() - m_PeerLastContactAt[Vm]}});
   m_VoterChangePending = true;
-  m_OtherCoreAddresses.erase(Unresponsive->m_Address);
+  if (Voter)
+    m_OtherCoreAddresses.erase(Voter->m_Address);
   m_Log->removeVoter(
       Vm, [this, Vm](const Result<Done, MembershipError> &RemoveResult) {
-        m_VoterChangePending = false;
         logEvent(LogSeverity::Info, "voter.removed",
                  {{"vm", Vm}, {"done", isOk(RemoveResult)}});
-        // Another voter may have been lost as well.
-        if (isOk(RemoveResult))
-          updateMembership();
+        onVoterChanged(isOk(RemoveResult));
       });
 }
 
+void CoreNode::onVoterChanged(bool IsDone) {
+  m_VoterChangePending = false;
+  // Another voter may have been lost or be leaving as well.
+  if (IsDone)
+    changeVoters();
+}
+
 void CoreNode::recordEntryCount() {
   const std::uint32_t Count = recentEntryCount();
   if (!canServeState() || m_EntryCountPending || Count <= m_State.m_EntryCount)
--- a/src/ragwortdrift/fleet/core_node.cpp
+++ b/src/ragwortdrift/fleet/core_node.cpp
@@ -104,6 +104,9 @@
   m_Periodic.push_back(
       m_Timers.every(MemoryLogInterval, [this] { logMemory(); }));
   m_ListTimer = m_Timers.after(Duration{0}, [this] { updateLeafList(); });
+  // A VM that stopped may have been removed from the voters, or be about to.
+  if (!isInitialVoter())
+    sendJoinRequests();
   return Done{};
 }
 
@@ -284,6 +287,10 @@
         else
           rejectMalformedRequest(Request, Response);
       });
+  m_PeerServer.handle(
+      "/leave", [this](const PeerRequest &Request, const StreamPtr &Response) {
+        onLeaveRequest(Request.m_Sender, Response);
+      });
   m_PeerServer.handle("/observed", [this](const PeerRequest &Request,
                                           const StreamPtr &Response) {
     onObservationReport(Request);
@@ -495,12 +502,6 @@
   m_Settings.m_Cores = std::move(Cores);
 }
 
-void CoreNode::beginStop() {
-  m_Stopping = true;
-  if (m_Log)
-    m_Log->transferLeadership();
-}
-
 void CoreNode::logMemory() {
   const std::size_t UnsentBytes = m_PeerServer.unsentBytes();
   if (std::exchange(m_LoggedRevision, m_State.m_Revision) ==
@@ -527,6 +528,12 @@
         .set(static_cast<double>(Status.m_Term));
     m_Metrics.gauge("ragwortdrift_log_voters")
         .set(static_cast<double>(Status.m_Voters.size()));
+    m_Metrics.gauge("ragwortdrift_log_is_voter")
+        .set(std::ranges::count(
+                 Status.m_Voters, VmId{m_Address},
+                 [](const Member &Voter) { return Voter.m_Key.m_Vm; }) > 0
+                 ? 1
+                 : 0);
     m_Metrics.gauge("ragwortdrift_log_commit_index")
         .set(static_cast<double>(Status.m_CommitIndex));
     m_Metrics.gauge("ragwortdrift_log_bytes")
--- a/src/ragwortdrift/fleet/fleet_fixture.hpp
+++ b/src/ragwortdrift/fleet/fleet_fixture.hpp
@@ -112,6 +112,16 @@
         m_Io, settings(Index, FormCluster), makeLineFormat());
     cr_assert(isOk(m_Nodes[Index]->start()));
   }
+  /// Stops a VM as SIGTERM does.
+  void stop(std::size_t Index) {
+    bool IsReady = false;
+    m_Nodes[Index]->beginStop([&] { IsReady = true; });
+    cr_assert(runUntil([&] { return IsReady; }, 3s));
+    m_Nodes[Index].reset();
+  }
+  void runFor(Duration Time) {
+    runUntil([] { return false; }, Time);
+  }
   void startInitialVoters() {
     for (std::size_t I = 0; I < m_InitialVoters; ++I)
       start(I, true);
@@ -190,6 +200,9 @@
         return std::get<Gauge>(Sample.m_Value).value();
     return 0;
   }
+  bool isVoter(std::size_t Index) {
+    return gaugeValue(Index, "ragwortdrift_log_is_voter") == 1;
+  }
   double voterCount(std::size_t Index) {
     return gaugeValue(Index, "ragwortdrift_log_voters");
   }
--- /dev/null
+++ b/src/ragwortdrift/fleet/planned_replacement_test.cpp
@@ -0,0 +1,137 @@
+#include "fleet_fixture.hpp"
+
+#include "ragwortdrift/testing/table.hpp"
+
+using namespace ragwortdrift;
+using namespace ragwortdrift::testing;
+
+namespace {
+
+enum class Stopped { Leader, Follower };
+
+struct ReplacementCase {
+  const char *m_Name;
+  std::size_t m_Cores;
+  /// Each is stopped after its successor has joined.
+  std::vector<Stopped> m_Replacements;
+  bool m_RestartsBefore;
+  std::size_t m_LostDisks;
+};
+const ReplacementCase ReplacementCases[] = {
+    {"follower of three", 3, {Stopped::Follower}, false, 1},
+    {"leader of three", 3, {Stopped::Leader}, false, 1},
+    {"two of three in a row",
+     3,
+     {Stopped::Follower, Stopped::Leader},
+     false,
+     1},
+    {"one of three after restarts in turn", 3, {Stopped::Follower}, true, 1},
+    {"one of four", 4, {Stopped::Leader}, false, 1},
+    {"follower of six", 6, {Stopped::Follower}, false, 2},
+    {"leader of six", 6, {Stopped::Leader}, false, 2},
+    {"two of six in a row", 6, {Stopped::Follower, Stopped::Leader}, false, 2},
+};
+
+/// Returns the indices of the voters other than the leader, then the leader.
+std::vector<std::size_t> votersOf(TestFleet &Fleet) {
+  std::vector<std::size_t> Voters;
+  std::optional<std::size_t> Leader;
+  Fleet.runUntil([&] { return (Leader = Fleet.leaderIndex()).has_value(); });
+  for (std::size_t I = 0; I < Fleet.m_Nodes.size(); ++I)
+    if (Fleet.m_Nodes[I] && I != Leader && Fleet.isVoter(I))
+      Voters.push_back(I);
+  Voters.push_back(Leader.value());
+  return Voters;
+}
+
+} // namespace
+
+// Guards against a stopped core VM that remains a voter, so that the loss of
+// another disk leaves no majority for good (review/6).
+TABLE_TEST(planned_replacement, tolerates_lost_disks_after_it,
+           ReplacementCases) {
+  constexpr std::size_t MaxSuccessors = 2;
+  TestFleet Fleet(3, Row.m_Cores - 3 + MaxSuccessors);
+  Fleet.startInitialVoters();
+  cr_assert_eq(Fleet.submitUntilDecided(0, TestFleet::config(1)),
+               RoutingCommandOutcome::Accepted);
+  for (std::size_t I = 3; I < Row.m_Cores; ++I)
+    Fleet.start(I, false);
+  const double Voters = std::min<double>(static_cast<double>(Row.m_Cores), 5);
+  cr_assert(Fleet.runUntil([&] { return Fleet.voterCount(0) == Voters; }));
+  for (std::size_t I = 0; Row.m_RestartsBefore && I < Row.m_Cores; ++I) {
+    Fleet.stop(I);
+    Fleet.start(I, false);
+    Fleet.runFor(1s);
+    cr_assert_eq(Fleet.voterCount(I), Voters, "%s", Row.m_Name);
+  }
+  std::size_t Successor = Row.m_Cores;
+  for (const Stopped Former : Row.m_Replacements) {
+    Fleet.start(Successor, false);
+    Fleet.runFor(2s);
+    const auto Running = votersOf(Fleet);
+    Fleet.stop(Former == Stopped::Leader ? Running.back() : Running.front());
+    ++Successor;
+  }
+  Fleet.runFor(1500ms);
+  const std::size_t Last = Successor - 1;
+  cr_assert_eq(Fleet.submitUntilDecided(Last, TestFleet::config(2)),
+               RoutingCommandOutcome::Accepted);
+  const auto Running = votersOf(Fleet);
+  cr_assert_geq(Running.size(), Row.m_LostDisks + 2, "%s", Row.m_Name);
+  const std::vector<std::size_t> Lost(
+      Running.end() - static_cast<std::ptrdiff_t>(Row.m_LostDisks),
+      Running.end());
+  for (const std::size_t I : Lost) {
+    Fleet.m_Nodes[I].reset();
+    std::filesystem::remove_all(Fleet.folder(I));
+  }
+  Fleet.runFor(1s);
+  for (const std::size_t I : Lost)
+    Fleet.start(I, false);
+  cr_assert_eq(Fleet.submitUntilDecided(Last, TestFleet::config(3)),
+               RoutingCommandOutcome::Accepted, "%s", Row.m_Name);
+  const auto State = Fleet.read(Last);
+  cr_assert(isOk(State) && valueOf(State).m_Config.m_Version == 3, "%s",
+            Row.m_Name);
+}
+
+// Guards against restarts in turn or at once that shrink the set of voters
+// until the next loss is fatal.
+Test(planned_replacement, keeps_three_voters_when_all_stop) {
+  TestFleet Fleet(3);
+  Fleet.startInitialVoters();
+  cr_assert_eq(Fleet.submitUntilDecided(0, TestFleet::config(1)),
+               RoutingCommandOutcome::Accepted);
+  int Ready = 0;
+  for (std::size_t I = 0; I < 2; ++I)
+    Fleet.m_Nodes[I]->beginStop([&] { ++Ready; });
+  cr_assert(Fleet.runUntil([&] { return Ready == 2; }, 3s));
+  cr_assert_eq(Fleet.voterCount(2), 3);
+}
+
+// Guards against a stop that waits for a leader that does not exist.
+Test(planned_replacement, ends_in_time_without_majority) {
+  TestFleet Fleet(3);
+  Fleet.startInitialVoters();
+  cr_assert_eq(Fleet.submitUntilDecided(0, TestFleet::config(1)),
+               RoutingCommandOutcome::Accepted);
+  Fleet.m_Nodes[1].reset();
+  Fleet.m_Nodes[2].reset();
+  Fleet.stop(0);
+}
+
+// Guards against a VM that left, returns with its disk and does not vote again.
+Test(planned_replacement, readmits_vm_that_left) {
+  TestFleet Fleet(3, 1);
+  Fleet.startInitialVoters();
+  Fleet.start(3, false);
+  cr_assert(Fleet.runUntil([&] { return Fleet.voterCount(0) == 4; }));
+  cr_assert_eq(Fleet.submitUntilDecided(0, TestFleet::config(1)),
+               RoutingCommandOutcome::Accepted);
+  Fleet.stop(1);
+  cr_assert(Fleet.runUntil([&] { return Fleet.voterCount(0) == 3; }));
+  Fleet.start(1, false);
+  cr_assert(Fleet.runUntil(
+      [&] { return Fleet.voterCount(0) == 4 && Fleet.isVoter(1); }, 3s));
+}
--- a/src/ragwortdrift/testing/consensus_fuzz.hpp
+++ b/src/ragwortdrift/testing/consensus_fuzz.hpp
@@ -7,12 +7,15 @@
 
 /// Mixed injects all kinds of faults. Churn only forces frequent leader
 /// changes, with links that fail in one direction and payloads that fill a
-/// message, so that logs diverge over many terms.
-enum class FuzzProfile { Mixed, Churn };
+/// message, so that logs diverge over many terms. Replacement replaces voters
+/// as planned: one is added, another is removed and stopped, and a disk is lost
+/// at once.
+enum class FuzzProfile { Mixed, Churn, Replacement };
 template <> struct EnumNames<FuzzProfile> {
   static constexpr std::array Entries{
       EnumName<FuzzProfile>{FuzzProfile::Mixed, "mixed"},
-      EnumName<FuzzProfile>{FuzzProfile::Churn, "churn"}};
+      EnumName<FuzzProfile>{FuzzProfile::Churn, "churn"},
+      EnumName<FuzzProfile>{FuzzProfile::Replacement, "replacement"}};
 };
 
 /// One run of the replicated log under random faults, in virtual time. Throws
@@ -22,7 +25,7 @@
   ConsensusFuzz(std::uint64_t Seed, bool Trace,
                 FuzzProfile Profile = FuzzProfile::Mixed)
       : m_Sim(Seed, votersFor(Seed, Profile),
-              /*Spares=*/Profile == FuzzProfile::Mixed ? 2 : 0),
+              /*Spares=*/Profile == FuzzProfile::Churn ? 0 : 2),
         m_Profile(Profile), m_ImmediateRestarts(Seed % 2 == 0) {
     m_Sim.m_Trace = Trace;
   }
@@ -33,8 +36,18 @@
     m_Sim.m_OpenCrashPercent = 20;
     while (m_Sim.now() < TimePoint{FaultDuration}) {
       m_Sim.run(std::chrono::milliseconds(1 + m_Sim.draw(30)));
-      m_Profile == FuzzProfile::Mixed ? injectRandomFault()
-                                      : injectChurnFault();
+      stopLeftVms();
+      switch (m_Profile) {
+      case FuzzProfile::Mixed:
+        injectRandomFault();
+        break;
+      case FuzzProfile::Churn:
+        injectChurnFault();
+        break;
+      case FuzzProfile::Replacement:
+        injectReplacement();
+        break;
+      }
     }
     stopFaults();
     checkRecovery();
@@ -74,6 +87,49 @@
       m_Sim.m_DelayPercent = m_Sim.draw(80);
   }
 
+  void injectReplacement() {
+    Node &N = m_Sim.randomNode();
+    Node *Leader = m_Sim.leader();
+    const std::uint64_t Kind = m_Sim.draw(1000);
+    if (Kind < 700)
+      proposeBatch(Leader ? *Leader : N);
+    else if (Kind < 760)
+      addNode(N);
+    else if (Kind < 820)
+      leave(N);
+    else if (Kind < 860)
+      changeNetworkQuality();
+    else if (Kind < 960)
+      recoverNode(N);
+  }
+
+  /// Removes a voter of an even number, or transfers leadership first, as a
+  /// graceful stop does. The VM stops when it has left, and a disk is lost.
+  void leave(Node &N) {
+    Node *Leader = m_Sim.leader();
+    if (Leader == &N)
+      return N.m_Log->transferLeadership();
+    if (!Leader || Leader->m_Log->status().m_Voters.size() % 2 != 0)
+      return;
+    m_Sim.trace("leave " + N.m_Vm.m_Value);
+    Leader->m_Log->removeVoter(
+        N.m_Vm, [this, &N](const Result<Done, MembershipError> &R) {
+          m_Sim.m_Events["voter left"] += isOk(R);
+          if (isOk(R))
+            m_LeftVms.push_back(&N);
+        });
+  }
+
+  /// Stops the VMs that have left; a callback may not stop a VM.
+  void stopLeftVms() {
+    for (Node *Left : std::exchange(m_LeftVms, {})) {
+      m_Sim.stop(*Left, /*PowerLost=*/false);
+      Node &N = m_Sim.randomNode();
+      if (&N != Left)
+        loseDisk(N);
+    }
+  }
+
   /// A voter that restarts immediately can receive a vote request from a second
   /// candidate in the same term.
   void restartNode(Node &N) {
@@ -228,6 +284,8 @@
 
   ConsensusSim m_Sim;
   FuzzProfile m_Profile;
+  /// VMs whose removal from the voters is committed.
+  std::vector<Node *> m_LeftVms;
   /// True if the churn profile restarts voters immediately (even seeds).
   bool m_ImmediateRestarts;
 };
