Remove a lost voter before its successor is lost as well

Cause: the lost voter counted for 3 s beside its successor, so that two of four voters were left. On a related path a VM that was lost while it joined held the only change of the voters for up to 30 s.

Change: among an even number of voters one that is silent for 1 s is removed, checked as soon as another has joined. Its vote only raises the majority; if it comes back it joins again. An addition whose VM is silent for 1.5 s is given up, and a lost learner is removed.

A successor that is lost within a second of joining still leaves two of four; that is one loss more than such a deployment tolerates.

--- a/include/ragwortdrift/consensus/replicated_log.hpp
+++ b/include/ragwortdrift/consensus/replicated_log.hpp
@@ -128,6 +128,11 @@
   /// the change is committed.
   void removeVoter(const VmId &Vm, MembershipCallback Callback);
 
+  /// Ends a pending addVoter() with NotCaughtUp, so that other changes can
+  /// begin. The VM may stay a learner, which is promoted if it catches up
+  /// later.
+  void abandonAddition();
+
   /// Transfers leadership to another voter, for instance before a graceful
   /// shutdown.
   void transferLeadership();
--- a/include/ragwortdrift/consensus/replicated_log_impl.hpp
+++ b/include/ragwortdrift/consensus/replicated_log_impl.hpp
@@ -413,6 +413,12 @@
   scheduleProcessing();
 }
 
+template <FileOps Files> void BasicReplicatedLog<Files>::abandonAddition() {
+  if (m_MembershipChange &&
+      m_MembershipChange->m_Phase != MembershipChangePhase::Remove)
+    finishMembershipChange(MembershipErrorCode::NotCaughtUp);
+}
+
 template <FileOps Files> void BasicReplicatedLog<Files>::queryNewMember() {
   const Member &NewMember = m_MembershipChange->m_Member;
   std::string LocalAddress;
--- a/include/ragwortdrift/fleet/core_node.hpp
+++ b/include/ragwortdrift/fleet/core_node.hpp
@@ -153,6 +153,8 @@
   void addVoter(const VmId &Vm, const std::string &Address);
   void removeVoter(const VmId &Vm);
   void onVoterChanged(bool IsDone);
+  /// Removes a learner that was lost before it became a voter.
+  void removeLostLearner(const ReplicatedLogStatus &Status);
   /// Requests the leader to remove this VM from the voters, until it decides.
   void requestLeave();
   void finishStop(std::string_view Outcome);
@@ -278,6 +280,8 @@
   };
   /// Core VMs that have requested to join.
   std::map<VmId, JoinCandidate> m_JoinCandidates;
+  /// The VM that is being added to the voters.
+  std::optional<VmId> m_AddedVm;
   /// Times at which voters requested to leave.
   std::map<VmId, TimePoint> m_LeavingVoters;
   bool m_LedAtLastCheck = false;
--- a/src/ragwortdrift/fleet/core_membership.cpp
+++ b/src/ragwortdrift/fleet/core_membership.cpp
@@ -16,6 +16,9 @@
 /// Joins are repeated every 500 ms; a core VM that has stopped requesting is no
 /// candidate any more.
 constexpr std::chrono::seconds CandidateRetention{2};
+/// A VM that is being added and sends nothing for this long is lost. Longer
+/// than an election and the transfer of a chunk of a snapshot.
+constexpr std::chrono::milliseconds LearnerTimeout{1500};
 /// Longest stop of a VM after its request to leave.
 constexpr std::chrono::seconds LeavingRetention{10};
 /// Time for which an entry VM is counted after it was last seen. Keeps the
@@ -146,9 +149,16 @@
 }
 
 void CoreNode::changeVoters() {
-  if (!isLeader() || m_VoterChangePending || m_Stopping)
+  if (!isLeader() || m_Stopping)
     return;
   const TimePoint Now = m_Timers.now();
+  // A VM that has been lost while it joins must not hold up other changes.
+  if (m_AddedVm && Now - m_PeerLastContactAt[*m_AddedVm] > LearnerTimeout) {
+    m_JoinCandidates.erase(*m_AddedVm);
+    m_Log->abandonAddition();
+  }
+  if (m_VoterChangePending)
+    return;
   std::erase_if(m_LeavingVoters, [&](const auto &Entry) {
     return Now - Entry.second > LeavingRetention;
   });
@@ -169,13 +179,27 @@
   }
   std::optional<VmId> Candidate;
   for (const auto &[Vm, Entry] : m_JoinCandidates)
-    if (!findVoter(Status, Vm) && !m_LeavingVoters.contains(Vm))
+    if (!findVoter(Status, Vm) && !m_LeavingVoters.contains(Vm) &&
+        (!Candidate ||
+         Entry.m_RequestedAt > m_JoinCandidates.at(*Candidate).m_RequestedAt))
       Candidate = Vm;
   const VoterChange Change = planVoterChange(Voters, Candidate);
   if (const auto *Addition = std::get_if<AddVoter>(&Change))
     addVoter(Addition->m_Vm, m_JoinCandidates.at(Addition->m_Vm).m_Address);
   else if (const auto *Removal = std::get_if<RemoveVoter>(&Change))
     removeVoter(Removal->m_Vm);
+  else
+    removeLostLearner(Status);
+}
+
+void CoreNode::removeLostLearner(const ReplicatedLogStatus &Status) {
+  for (const Member &Learner : Status.m_Learners) {
+    const VmId &Vm = Learner.m_Key.m_Vm;
+    const TimePoint LastContact =
+        m_PeerLastContactAt.try_emplace(Vm, m_Timers.now()).first->second;
+    if (m_Timers.now() - LastContact > LearnerTimeout)
+      return removeVoter(Vm);
+  }
 }
 
 void CoreNode::addVoter(const VmId &Vm, const std::string &Address) {
@@ -187,6 +211,7 @@
             {"replaces_store", findVoter(Status, Vm) != nullptr},
             {"voters", Status.m_Voters.size()}});
   m_VoterChangePending = true;
+  m_AddedVm = Vm;
   m_PeerLastContactAt[Vm] = m_Timers.now();
   m_Log->addVoter(
       Vm, Address, [this, Vm](const Result<Done, MembershipError> &AddResult) {
@@ -221,6 +246,7 @@
 
 void CoreNode::onVoterChanged(bool IsDone) {
   m_VoterChangePending = false;
+  m_AddedVm.reset();
   // Another voter may have been lost or be leaving as well.
   if (IsDone)
     changeVoters();
--- a/src/ragwortdrift/fleet/planned_replacement_test.cpp
+++ b/src/ragwortdrift/fleet/planned_replacement_test.cpp
@@ -135,3 +135,62 @@
   cr_assert(Fleet.runUntil(
       [&] { return Fleet.voterCount(0) == 4 && Fleet.isVoter(1); }, 3s));
 }
+
+struct LostSuccessorCase {
+  const char *m_Name;
+  Stopped m_First;
+  Duration m_LifeOfSuccessor;
+};
+const LostSuccessorCase LostSuccessorCases[] = {
+    {"follower lost, successor lost as a voter", Stopped::Follower, 1500ms},
+    {"leader lost, successor lost as a voter", Stopped::Leader, 1500ms},
+};
+
+// Guards against a lost voter that still counts beside a lost successor, which
+// leaves no majority for good.
+TABLE_TEST(planned_replacement, tolerates_lost_successor, LostSuccessorCases) {
+  TestFleet Fleet(3, 2);
+  Fleet.startInitialVoters();
+  cr_assert_eq(Fleet.submitUntilDecided(0, TestFleet::config(1)),
+               RoutingCommandOutcome::Accepted);
+  const auto Running = votersOf(Fleet);
+  Fleet
+      .m_Nodes[Row.m_First == Stopped::Leader ? Running.back()
+                                              : Running.front()]
+      .reset();
+  Fleet.runFor(1s);
+  Fleet.start(3, false);
+  Fleet.runFor(Row.m_LifeOfSuccessor);
+  Fleet.m_Nodes[3].reset();
+  Fleet.runFor(1s);
+  Fleet.start(4, false);
+  cr_assert(
+      Fleet.runUntil(
+          [&] { return Fleet.isVoter(4) && Fleet.voterCount(4) == 3; }, 6s),
+      "%s", Row.m_Name);
+  cr_assert_eq(Fleet.submitUntilDecided(4, TestFleet::config(2)),
+               RoutingCommandOutcome::Accepted, "%s", Row.m_Name);
+}
+
+// Guards against a VM that is lost while it joins and holds up all changes of
+// the voters for half a minute.
+Test(planned_replacement, admits_vm_after_lost_candidate) {
+  TestFleet Fleet(3, 2);
+  Fleet.startInitialVoters();
+  cr_assert_eq(Fleet.submitUntilDecided(0, TestFleet::config(1)),
+               RoutingCommandOutcome::Accepted);
+  TimerService Timers;
+  AsioTimerDriver Driver(Fleet.m_Io, Timers);
+  Driver.start();
+  const std::string Lost = formatEndpoint(Fleet.m_Peers[4]);
+  PeerClient Candidate(Fleet.m_Io, Timers, Fleet.settings(0, false).m_Key,
+                       VmId{Lost});
+  const Endpoint Leader = Fleet.m_Peers[votersOf(Fleet).back()];
+  const PeerCall Call = Candidate.open(
+      Leader.m_Ip, Leader.m_Port, "/join",
+      encode(JoinRequest{Lost, StoreId{1}}), 1s, [](const std::string &) {},
+      [](const Result<Done, PeerError> &) {});
+  Fleet.runFor(500ms);
+  Fleet.start(3, false);
+  cr_assert(Fleet.runUntil([&] { return Fleet.isVoter(3); }, 6s));
+}
--- a/src/ragwortdrift/fleet/voter_plan.cpp
+++ b/src/ragwortdrift/fleet/voter_plan.cpp
@@ -12,10 +12,12 @@
 /// than MinVoters. Network partitions and restarts are shorter; a VM that
 /// returns joins again.
 constexpr std::chrono::seconds UnresponsiveTimeout{12};
-/// Timeout that applies instead while the voter is redundant: the number of
-/// voters is even, so its vote only raises the majority, or a candidate waits
-/// for its place.
-constexpr std::chrono::seconds RedundantTimeout{3};
+/// Timeout that applies instead while a candidate waits for the place.
+constexpr std::chrono::seconds ReplaceableTimeout{3};
+/// Timeout of a voter among an even number, whose vote only raises the
+/// majority: longer than an election. Its removal costs at most another join,
+/// while a second loss before it would be fatal.
+constexpr std::chrono::seconds RedundantTimeout{1};
 
 } // namespace
 
@@ -23,8 +25,9 @@
                             const std::optional<VmId> &Candidate) {
   const std::size_t Count = Voters.size();
   const bool IsEven = Count % 2 == 0;
-  const Duration Timeout =
-      IsEven || Candidate ? RedundantTimeout : UnresponsiveTimeout;
+  const Duration Timeout = IsEven      ? RedundantTimeout
+                           : Candidate ? ReplaceableTimeout
+                                       : UnresponsiveTimeout;
   const auto IsResponsive = [&](const VoterView &Voter) {
     return Voter.m_Silence < Timeout;
   };
--- a/src/ragwortdrift/testing/consensus_fuzz.hpp
+++ b/src/ragwortdrift/testing/consensus_fuzz.hpp
@@ -97,6 +97,8 @@
       addNode(N);
     else if (Kind < 820)
       leave(N);
+    else if (Kind < 840 && Leader)
+      Leader->m_Log->abandonAddition();
     else if (Kind < 860)
       changeNetworkQuality();
     else if (Kind < 960)
