Take a status that HTTP does not define for no response

What callers saw: the signed response of a leaf in trouble with status 000, 001, 042, 099, 101, 600 or 999 reached them as an answer.

Cause: Beast accepts any three digits, and nothing checked them. A status that is not 2xx counted as a failure that the leaf has stated. 101 was kept out of the interim responses, although no upgrade is ever requested.

Change: the parser reports a bad status for everything but 100 and 102 to 599. The request then counts as lost: it is repeated only where that is allowed, ends as 502 without the leaf's signature, and its connection is closed. Health checks, the leaf list and the leafs of ragwortdriftd are read by the same parser. A peer's response other than 200 ends the call.

--- a/src/ragwortdrift/net/message_parser.hpp
+++ b/src/ragwortdrift/net/message_parser.hpp
@@ -95,6 +95,8 @@
       m_BytesParsed += Size;
       if (Error && Error != boost::beast::http::error::need_more)
         return Error;
+      if (m_Parser->is_header_done() && !hasValidStatus())
+        return boost::beast::http::error::bad_status;
       if (isOverhead() || m_Buffer.size() == m_Buffer.max_size())
         return boost::beast::http::error::buffer_overflow;
       if (isInterimResponse())
@@ -156,15 +158,25 @@
                MaxChunkedBytesPerBodyByte * m_Parser->get().body().size();
   }
 
-  bool isInterimResponse() const {
+  /// RFC 9110, section 15: codes outside 100 to 599 are invalid, and 101 answers
+  /// a request for an upgrade, which is never sent.
+  bool hasValidStatus() const {
     if constexpr (IsRequest)
-      return false;
+      return true;
     else
-      return m_Parser->is_done() && m_Parser->get().result_int() / 100 == 1 &&
+      return m_Parser->get().result_int() >= 100 &&
+             m_Parser->get().result_int() <= 599 &&
              m_Parser->get().result() !=
                  boost::beast::http::status::switching_protocols;
   }
 
+  bool isInterimResponse() const {
+    if constexpr (IsRequest)
+      return false;
+    else
+      return m_Parser->is_done() && m_Parser->get().result_int() / 100 == 1;
+  }
+
   std::uint64_t m_BytesParsed = 0;
   std::size_t m_ReceiveBytes = MinReceiveBytes;
 };
--- a/src/ragwortdrift/net/peer_client.cpp
+++ b/src/ragwortdrift/net/peer_client.cpp
@@ -263,8 +263,12 @@
 void ClientSession::onHeader(std::int32_t Id, std::string_view Name,
                              std::string_view Value) {
   const auto It = m_Calls.find(Id);
-  if (It != m_Calls.end() && Name == "rd-from")
+  if (It == m_Calls.end())
+    return;
+  if (Name == "rd-from")
     It->second->m_Context.m_Sender = VmId(std::string(Value));
+  else if (Name == ":status" && Value != "200")
+    fail(It->second, PeerErrorCode::Protocol, NGHTTP2_PROTOCOL_ERROR);
 }
 
 void ClientSession::onData(std::int32_t Id, std::string_view Bytes) {
