Bound the bytes of all incomplete responses together

What operators of similar systems saw: leafs that send without end took the memory of the VM, and the requests of other clients ended with it.

Cause: a single response was bounded to 1 MB, all of them together were not. Complete responses that wait for the rest of a search were not counted either, and one read of the leaf list had no bound on bytes or entries.

Change: ResponseBytes counts the memory of incomplete responses over all client connections of an io_context. Complete responses count in the bytes in flight that admit new requests. One read of the leaf list is bounded to 64 MiB and 200,000 leafs. When the last of many incomplete responses has ended, free memory is returned.

--- a/include/ragwortdrift/base/heap_usage.hpp
+++ b/include/ragwortdrift/base/heap_usage.hpp
@@ -15,6 +15,12 @@
 
 HeapUsage heapUsage();
 
+/// Memory of this machine in bytes.
+std::size_t machineMemory();
+
+/// Returns free blocks of the allocator to the system.
+void releaseFreeMemory();
+
 } // namespace ragwortdrift
 
 #endif
--- a/include/ragwortdrift/dispatch/active_request.hpp
+++ b/include/ragwortdrift/dispatch/active_request.hpp
@@ -178,6 +178,9 @@
   /// its attempts is open.
   void resumeOrFailContained();
 
+  /// Adds a response that is kept to the bytes in flight.
+  void countResponse(const HttpResponse &Response);
+
   // Timing.
   void onTimer();
   void markOverdue(SubRequest &Sub);
--- a/include/ragwortdrift/dispatch/dispatcher.hpp
+++ b/include/ragwortdrift/dispatch/dispatcher.hpp
@@ -29,9 +29,9 @@
   std::optional<RolloutBounds> m_Rollouts;
   /// Requests in flight above which new ones are refused.
   std::size_t m_MaxInFlight = 400;
-  /// Bytes of request bodies and large headers in flight above which new
-  /// requests are refused. Those of a search count once for each shard, since
-  /// each attempt has a copy.
+  /// Bytes of request bodies, large headers and received responses in flight
+  /// above which new requests are refused. Those of a search count once for
+  /// each shard, since each attempt has a copy.
   std::size_t m_MaxInFlightBytes = std::size_t{16} * 1024 * 1024;
   /// Longest time after its acceptance for which a new configuration is held
   /// while its services cannot serve as well as those in force.
--- a/include/ragwortdrift/dispatch/leaf_pool.hpp
+++ b/include/ragwortdrift/dispatch/leaf_pool.hpp
@@ -5,6 +5,8 @@
 #include "ragwortdrift/dispatch/leaf_list.hpp"
 #include "ragwortdrift/net/http_client.hpp"
 
+#include <boost/asio/io_context.hpp>
+
 #include <deque>
 #include <functional>
 #include <map>
@@ -74,6 +76,11 @@
   /// connections. Called periodically.
   void closeIdle();
 
+  /// The incomplete responses of this pool's connections, and of all others of
+  /// its io_context.
+  ResponseBytes &responseBytes() {
+    return boost::asio::use_service<ResponseBytes>(m_Io);
+  }
   std::size_t connections() const;
   std::uint64_t connectionsOpened() const { return m_ConnectionsOpened; }
 
@@ -140,6 +147,7 @@
   void addIdle(const LeafPtr &Upstream, const Connection &Conn,
                Duration IdleTimeout, bool CarriedRequest);
   std::uint32_t connectionLimit(const ServiceName &Service) const;
+  void recordBytes(const ServiceName &Service, const HttpResponse &Response);
 
   boost::asio::io_context &m_Io;
   TimerService &m_Timers;
@@ -148,6 +156,8 @@
   std::map<LeafRequestId, std::pair<LeafPtr, std::shared_ptr<Request>>>
       m_Requests;
   std::map<ServiceName, std::uint32_t> m_ConnectionLimits;
+  /// Size of the large ones among the recent successes of each service.
+  std::map<ServiceName, std::size_t> m_UsualBytes;
   IdleCloseCallback m_OnIdleClose;
   LeafRequestId m_NextId = 1;
   std::uint64_t m_ConnectionsOpened = 0;
--- a/include/ragwortdrift/fleet/leaf_list_reader.hpp
+++ b/include/ragwortdrift/fleet/leaf_list_reader.hpp
@@ -70,6 +70,7 @@
   /// Ids in m_Leafs. Of several entries with the same id the first one counts.
   std::set<LeafId> m_Ids;
   std::size_t m_PageCount = 0;
+  std::size_t m_Bytes = 0;
   std::size_t m_Skipped = 0;
   std::uint64_t m_CallCount = 0;
   Callback m_Callback;
--- a/include/ragwortdrift/net/http_client.hpp
+++ b/include/ragwortdrift/net/http_client.hpp
@@ -4,6 +4,7 @@
 #include "ragwortdrift/base/result.hpp"
 #include "ragwortdrift/base/time.hpp"
 #include "ragwortdrift/net/http_types.hpp"
+#include "ragwortdrift/net/response_bytes.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -50,6 +51,15 @@
   /// Calls back once if the remote side closes the connection, or sends
   /// unexpected bytes, while no request is in flight.
   void onIdleClose(std::function<void()> Fn) { m_OnIdleClose = std::move(Fn); }
+  /// Sets the size of a usual response to the next request. Where memory is
+  /// short, responses that exceed it are given up first.
+  void setUsualBytes(std::size_t Bytes) { m_UsualBytes = Bytes; }
+  std::size_t usualBytes() const { return m_UsualBytes; }
+  /// Closes the connection and frees the incomplete response; the pending
+  /// callback receives BadResponse later.
+  void abandonResponse();
+  /// Address of the remote side, for logs; empty if not connected.
+  std::string remote() const;
   /// True if the connection can take a request: it is open, idle and not known
   /// to be closed by the remote side.
   bool usable() const { return m_Open && !m_Busy; }
@@ -63,13 +73,19 @@
   void finish(Result<HttpResponse, HttpError> Outcome);
   void onHandlerFailed();
   void closeSocket();
+  /// Records the bytes of the incomplete response.
+  void countBytes(std::size_t Bytes);
 
   boost::asio::ip::tcp::socket m_Socket;
   boost::asio::steady_timer m_Timer;
+  ResponseBytes &m_ResponseBytes;
   std::unique_ptr<MessageParser<false>> m_Parser;
   /// The request as sent, and the number of bytes written of it.
   std::string m_Request;
   std::size_t m_BytesWritten = 0;
+  std::size_t m_UsualBytes = 0;
+  /// Bytes recorded in m_ResponseBytes.
+  std::size_t m_CountedBytes = 0;
   Callback m_Callback;
   std::function<void()> m_OnIdleClose;
   std::uint64_t m_TimerNumber = 0;
--- a/src/ragwortdrift/dispatch/active_request.cpp
+++ b/src/ragwortdrift/dispatch/active_request.cpp
@@ -256,11 +256,14 @@
   }
   if (Attempt.m_Outcome == AttemptOutcome::Answered) {
     Sub.m_Response = std::move(valueOf(Outcome));
+    countResponse(*Sub.m_Response);
     m_Stragglers.onAnswer(timers().now() - m_StartedAt);
     scheduleStragglerHedges();
   } else if (Attempt.m_Outcome == AttemptOutcome::LeafFailed &&
-             m_Route.m_Kind == RouteKind::Single)
+             m_Route.m_Kind == RouteKind::Single) {
     Sub.m_Failure = std::move(valueOf(Outcome));
+    countResponse(*Sub.m_Failure);
+  }
   if (!Sub.m_Response)
     retryOrFail(SubRequestIndex);
   if (IsAnswered)
@@ -269,6 +272,11 @@
   finishIfDecided();
 }
 
+void ActiveRequest::countResponse(const HttpResponse &Response) {
+  m_Bytes += Response.body().size();
+  m_Owner.m_InFlightBytes += Response.body().size();
+}
+
 void ActiveRequest::scheduleStragglerHedges() {
   const auto Threshold = m_Stragglers.threshold();
   if (m_Route.m_Kind != RouteKind::Search || !Threshold)
--- a/src/ragwortdrift/dispatch/leaf_pool.cpp
+++ b/src/ragwortdrift/dispatch/leaf_pool.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds IdleCloseMargin{700};
 /// Keep-alive time assumed if the leaf announces none.
 constexpr std::chrono::seconds DefaultIdleTimeout{20};
+/// A success larger than all others is forgotten after some times this many.
+constexpr std::size_t UsualBytesDecay = 64;
 /// Requests within their deadline that may have failed on one connection before
 /// it is closed. Bounds the memory of a connection to a leaf that refuses all.
 constexpr std::size_t MaxFailedRequests = 32;
@@ -251,6 +253,9 @@
   Item->m_Connection = Conn;
   Item->m_MaybeSent = true;
   Conn->onIdleClose(nullptr);
+  const auto UsualBytes = m_UsualBytes.find(Upstream->m_Service);
+  Conn->setUsualBytes(UsualBytes == m_UsualBytes.end() ? 0
+                                                       : UsualBytes->second);
   std::string RequestId(Item->m_Http[m_RequestIdHeader]);
   Conn->send(
       std::move(Item->m_Http), std::nullopt,
@@ -264,7 +269,9 @@
           Outcome = HttpError{HttpErrorCode::BadResponse, true,
                               "response without the id of the request"};
         }
-        if (isOk(Outcome) && valueOf(Outcome).result_int() / 100 != 2)
+        if (isOk(Outcome) && valueOf(Outcome).result_int() / 100 == 2)
+          recordBytes(Upstream->m_Service, valueOf(Outcome));
+        else if (isOk(Outcome))
           recordFailure(*Conn, valueOf(Outcome), RequestId, Item->m_Deadline);
         if (Conn->usable()) {
           addIdle(Upstream, Conn,
@@ -321,6 +328,12 @@
   });
 }
 
+void LeafPool::recordBytes(const ServiceName &Service,
+                           const HttpResponse &Response) {
+  std::size_t &Usual = m_UsualBytes[Service];
+  Usual = std::max(Usual - Usual / UsualBytesDecay, Response.body().size());
+}
+
 void LeafPool::finish(const std::shared_ptr<Request> &Item,
                       Result<HttpResponse, HttpError> Outcome) {
   m_Requests.erase(Item->m_Id);
--- a/src/ragwortdrift/fleet/entry_traffic.cpp
+++ b/src/ragwortdrift/fleet/entry_traffic.cpp
@@ -302,6 +302,10 @@
       .set(static_cast<double>(m_Pool.connections()));
   Metrics.gauge("ragwortdrift_leaf_connections_opened")
       .set(static_cast<double>(m_Pool.connectionsOpened()));
+  Metrics.gauge("ragwortdrift_leaf_response_bytes")
+      .set(static_cast<double>(m_Pool.responseBytes().bytes()));
+  Metrics.gauge("ragwortdrift_leaf_responses_abandoned")
+      .set(static_cast<double>(m_Pool.responseBytes().abandonedCount()));
   Metrics.gauge("ragwortdrift_caller_connections")
       .set(static_cast<double>(m_CallerServer.connections()));
   Metrics.gauge("ragwortdrift_caller_messages_refused")
--- a/src/ragwortdrift/fleet/leaf_list_reader.cpp
+++ b/src/ragwortdrift/fleet/leaf_list_reader.cpp
@@ -15,8 +15,11 @@
 /// A round trip takes some milliseconds; a hanging connection attempt is
 /// retried by the next read.
 constexpr std::chrono::milliseconds ConnectTimeout{400};
-/// Bounds the read of a list whose page tokens never end.
+/// Bounds of one read, for a server whose pages never end. The largest site
+/// planned has 130,000 leafs of about 200 bytes each.
 constexpr std::size_t MaxPages = 10'000;
+constexpr std::size_t MaxLeafs = 200'000;
+constexpr std::size_t MaxBytes = std::size_t{64} * 1024 * 1024;
 
 } // namespace
 
@@ -36,6 +39,7 @@
   m_Leafs.clear();
   m_Ids.clear();
   m_PageCount = 0;
+  m_Bytes = 0;
   m_Skipped = 0;
   requestPage({});
 }
@@ -92,6 +96,9 @@
     else
       ++m_Skipped;
   m_Skipped += Page.m_Skipped;
+  m_Bytes += Response.body().size();
+  if (m_Bytes > MaxBytes || m_Leafs.size() > MaxLeafs)
+    return finishRead(ListError{ListErrorCode::BadPage, "list too large"});
   if (Page.m_NextToken.empty()) {
     if (m_Skipped > 0)
       logEvent(LogSeverity::Warning, "leaf_list.entries_skipped",
@@ -108,6 +115,9 @@
     logEvent(LogSeverity::Warning, "leaf_list.read_failed",
              {{"error", errorOf(ReadResult).m_Code},
               {"detail", errorOf(ReadResult).m_Detail}});
+  // A failed read leaves a part of the list.
+  m_Leafs = {};
+  m_Ids.clear();
   if (auto OnRead = std::exchange(m_Callback, nullptr))
     OnRead(std::move(ReadResult));
 }
--- a/src/ragwortdrift/net/http_client.cpp
+++ b/src/ragwortdrift/net/http_client.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <sstream>
+
 namespace ragwortdrift {
 
 namespace asio = boost::asio;
@@ -63,9 +65,10 @@
 
 HttpClientConnection::HttpClientConnection(asio::io_context &Io)
     : m_Socket(Io), m_Timer(Io),
+      m_ResponseBytes(asio::use_service<ResponseBytes>(Io)),
       m_Parser(std::make_unique<MessageParser<false>>()) {}
 
-HttpClientConnection::~HttpClientConnection() = default;
+HttpClientConnection::~HttpClientConnection() { countBytes(0); }
 
 void HttpClientConnection::startTimer(Duration Timeout) {
   m_Timer.expires_after(Timeout);
@@ -194,7 +197,9 @@
     return;
   }
   if (!m_Parser->isDone()) {
-    read();
+    countBytes(m_Parser->allocatedBytes());
+    if (m_Open)
+      read();
     return;
   }
   HttpResponse Response = m_Parser->release();
@@ -228,7 +233,30 @@
     });
 }
 
+void HttpClientConnection::abandonResponse() {
+  closeSocket();
+  m_Parser->discard();
+  asio::post(m_Socket.get_executor(), [Self = shared_from_this()] {
+    Self->finish(HttpError{HttpErrorCode::BadResponse, true,
+                           "too many bytes of incomplete responses"});
+  });
+}
+
+std::string HttpClientConnection::remote() const {
+  beast::error_code Error;
+  std::ostringstream Text;
+  if (const auto Address = m_Socket.remote_endpoint(Error); !Error)
+    Text << Address;
+  return Text.str();
+}
+
+void HttpClientConnection::countBytes(std::size_t Bytes) {
+  if (std::exchange(m_CountedBytes, Bytes) != Bytes)
+    m_ResponseBytes.update(*this, Bytes);
+}
+
 void HttpClientConnection::closeSocket() {
+  countBytes(0);
   m_Open = false;
   beast::error_code Ignored;
   m_Socket.close(Ignored);
@@ -238,6 +266,7 @@
   if (!m_Busy)
     return;
   m_Busy = false;
+  countBytes(0);
   if (m_HasTimeout)
     stopTimer();
   // An idle connection must not keep the body of its last request.
--- a/src/ragwortdrift/net/message_parser.hpp
+++ b/src/ragwortdrift/net/message_parser.hpp
@@ -117,6 +117,8 @@
     return Error;
   }
 
+  /// Frees the incomplete message.
+  void discard() { m_Parser.emplace(); }
   bool isDone() const { return m_Parser->is_done(); }
   auto release() {
     if constexpr (IsRequest) {
@@ -131,6 +133,12 @@
   std::size_t unparsedBytes() const { return m_Buffer.size(); }
   /// Upper bound of the memory that the current message takes.
   std::size_t heldBytes() const { return m_BytesParsed + m_Buffer.size(); }
+  /// Memory that the current message takes. Includes the room that is reserved
+  /// for the announced length of its body, or by the growth of the body.
+  std::size_t allocatedBytes() const {
+    const std::string &Body = m_Parser->get().body();
+    return heldBytes() + Body.capacity() - Body.size();
+  }
 
 protected:
   boost::beast::flat_buffer m_Buffer;
@@ -158,8 +166,8 @@
                MaxChunkedBytesPerBodyByte * m_Parser->get().body().size();
   }
 
-  /// RFC 9110, section 15: codes outside 100 to 599 are invalid, and 101 answers
-  /// a request for an upgrade, which is never sent.
+  /// RFC 9110, section 15: codes outside 100 to 599 are invalid, and 101
+  /// answers a request for an upgrade, which is never sent.
   bool hasValidStatus() const {
     if constexpr (IsRequest)
       return true;
