--- a/src/ragwortdrift/dispatch/leaf_pool.cpp
+++ b/src/ragwortdrift/dispatch/leaf_pool.cpp
@@ -289,16 +289,16 @@
 void LeafPool::recordFailure(LeafConnection &Conn, const HttpResponse &Response,
                              const std::string &RequestId,
                              TimePoint Deadline) const {
-  if (RequestId.empty())
-    return;
+  // Without an id, a late copy would pass for the response to any request. A
+  // health probe has none, and a leaf that is full refuses it like a request.
+  if (RequestId.empty() || Response.find(m_RequestIdHeader) == Response.end())
+    return Conn.close();
   auto &Failed = Conn.m_FailedRequests;
   std::erase_if(Failed, [&](const FailedRequest &Item) {
     return Item.m_Deadline <= m_Timers.now();
   });
   Failed.push_back({RequestId, Deadline});
-  // Without an id, a late copy would pass for the response to any request.
-  if (Response.find(m_RequestIdHeader) == Response.end() ||
-      Failed.size() > MaxFailedRequests)
+  if (Failed.size() > MaxFailedRequests)
     Conn.close();
 }
 
--- a/src/ragwortdrift/dispatch/leaf_pool_test.cpp
+++ b/src/ragwortdrift/dispatch/leaf_pool_test.cpp
@@ -196,6 +196,52 @@
   cr_assert_leq(F.m_Pool.connections(), Row.m_ConnectionLimit);
 }
 
+/// An exchange after which another request follows, and a late copy of its
+/// response.
+struct LateCopyCase {
+  const char *m_Name;
+  /// Empty for a health probe.
+  std::string m_FirstId;
+  std::string m_FirstResponse;
+  /// True if the second request is sent on the connection of the first.
+  bool m_IsReused;
+};
+const std::string RefusalWithoutId =
+    "HTTP/1.1 503 Unavailable\r\nContent-Length: 2\r\n\r\nno";
+const LateCopyCase LateCopyCases[] = {
+    {"refused probe", "", RefusalWithoutId, false},
+    {"failed probe", "", "HTTP/1.1 500 Failed\r\nContent-Length: 2\r\n\r\nno",
+     false},
+    {"refused request without an id", "r0", RefusalWithoutId, false},
+    {"refused request with its id", "r0", refusalOf("r0"), true},
+    {"answered request", "r0", answerTo("r0"), true},
+    {"answered probe", "", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+     true},
+};
+
+// Guards against a late copy of the response to another exchange that is taken
+// for the refusal of a request, which then runs unnoticed (review/7).
+TABLE_TEST(leaf_pool, believes_no_late_copy, LateCopyCases) {
+  PoolFixture F;
+  F.m_Pool.setConnectionLimit(ServiceName{"service"}, 2);
+  F.m_ResponseBytes = Row.m_FirstResponse;
+  F.m_RequestId = Row.m_FirstId;
+  cr_assert(isOk(F.request()), "%s", Row.m_Name);
+  // The copy comes where the next response is due.
+  F.m_BytesBeforeResponse = Row.m_FirstResponse;
+  F.m_SocketWithExtraBytes = F.m_RequestSockets[0];
+  F.m_ResponseBytes = answerTo("r1");
+  F.m_RequestId = "r1";
+  const auto Second = F.request();
+  cr_assert_eq(F.m_Accepted, Row.m_IsReused ? 1 : 2, "%s", Row.m_Name);
+  // A copy on a connection that is reused shows that it is one.
+  if (Row.m_IsReused)
+    cr_assert(!isOk(Second) && errorOf(Second).m_MaybeSent, "%s", Row.m_Name);
+  else
+    cr_assert(isOk(Second) && valueOf(Second).result_int() == 200, "%s",
+              Row.m_Name);
+}
+
 // Guards against a late response to a request that is taken for that to a
 // health probe.
 Test(leaf_pool, refuses_response_of_request_for_probe) {
