Do not promise for a leaf that a booking has not been executed

What callers saw: a signed 503, 429 or 408 of a leaf that had run their request reached them as it was. For a request that is not idempotent these statuses say that it has not run and never will, and callers send it again.

Change: without the mark such a failure of a request that is not idempotent becomes the VM's own 502, without the leaf's signature. Requests that may be repeated get the leaf's failure unchanged.

--- a/src/ragwortdrift/dispatch/active_request_response.cpp
+++ b/src/ragwortdrift/dispatch/active_request_response.cpp
@@ -23,6 +23,13 @@
 /// Callers that are refused until a known time return spread over this period.
 constexpr std::chrono::milliseconds ReturnSpread{200};
 
+/// Returns true for statuses that tell the caller that its request has not been
+/// executed. A leaf that sends one without its mark for refusals has not said
+/// so, and a request that is not idempotent would be sent again.
+bool statesNotExecuted(unsigned Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
 } // namespace
 
 bool ActiveRequest::noneExecuted() const {
@@ -84,7 +91,8 @@
 HttpResponse ActiveRequest::singleResponse(FinishCause Cause) const {
   const SubRequest &Sub = m_SubRequests.front();
   const auto &LeafResponse = Sub.m_Response ? Sub.m_Response : Sub.m_Failure;
-  if (!LeafResponse)
+  if (!LeafResponse ||
+      (!m_Route.m_Idempotent && statesNotExecuted(LeafResponse->result_int())))
     return failureResponse(Cause);
   HttpResponse Out{LeafResponse->result(), 11};
   Out.result(LeafResponse->result_int());
