--- a/src/ragwortdrift/net/http_server.cpp
+++ b/src/ragwortdrift/net/http_server.cpp
@@ -29,6 +29,10 @@
 
 namespace {
 
+/// Time for which the rest of a refused message is read and dropped. Bytes that
+/// are unread when a connection closes reset it, and the caller may not get the
+/// refusal.
+constexpr std::chrono::seconds DrainTime{2};
 /// Delay before connections are accepted again after a failure, which is mostly
 /// a lack of file descriptors.
 constexpr std::chrono::milliseconds AcceptRetryDelay{20};
@@ -123,6 +127,8 @@
   }
 
 private:
+  static constexpr std::size_t DropBytes = 4096;
+
   /// Wraps a handler so that an exception ends this connection alone.
   template <class Handler> auto guarded(Handler Fn) {
     return [Self = shared_from_this(),
@@ -241,8 +247,11 @@
     if (m_Current || m_Writing)
       return;
     if (!m_NextRequest) {
-      if (m_PendingRefusal)
+      if (m_PendingRefusal) {
+        // The read has ended with an error, so none is pending.
+        m_DrainsRest = true;
         refuse(*std::exchange(m_PendingRefusal, std::nullopt));
+      }
       return;
     }
     m_Current = std::make_shared<HttpExchange>(std::move(*m_NextRequest));
@@ -292,6 +301,8 @@
     http::async_write(m_Stream, m_Response,
                       guarded([this](beast::error_code Error, std::size_t) {
                         m_Writing = false;
+                        if (!Error && m_DrainsRest)
+                          return drainRest();
                         if (Error || !m_KeepAlive) {
                           shutdown();
                           return;
@@ -302,6 +313,23 @@
                       }));
   }
 
+  /// Reads and drops the rest of a refused message until the caller closes.
+  void drainRest() {
+    beast::error_code Ignored;
+    m_Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
+    m_Stream.expires_after(DrainTime);
+    m_DropBuffer.resize(DropBytes);
+    dropBytes();
+  }
+
+  void dropBytes() {
+    m_Stream.async_read_some(
+        asio::buffer(m_DropBuffer),
+        guarded([this](beast::error_code Error, std::size_t) {
+          Error ? shutdown() : dropBytes();
+        }));
+  }
+
   /// Marks the pending read as abandoned; its handler then has no effect.
   void endRead() {
     m_ReadEnded = true;
@@ -368,6 +396,9 @@
   bool m_ReadEnded = false;
   bool m_Writing = false;
   bool m_KeepAlive = true;
+  /// The refusal of what has arrived is being written.
+  bool m_DrainsRest = false;
+  std::vector<char> m_DropBuffer;
 };
 
 HttpServer::HttpServer(asio::io_context &Io, HttpLimits Limits,
