Close a connection whose caller has ended it during the response

What operators saw: of 3,000 callers that left at random one connection stayed counted 20 s later. It cannot be replaced and counts towards the limit of connections for good.

Cause: if the caller's end is handled while a response is being written, closing is left to the handler of the write, which went on waiting for a request although the read had ended.

Evidence: caller_end/closes_connection_ended_during_response failed before: the connection was still open 5 s after the response.

Change: the end of a write closes the connection if the read has ended and no request or refusal waits.

--- a/src/ragwortdrift/net/http_server.cpp
+++ b/src/ragwortdrift/net/http_server.cpp
@@ -303,7 +303,11 @@
                         m_Writing = false;
                         if (!Error && m_DrainsRest)
                           return drainRest();
-                        if (Error || !m_KeepAlive) {
+                        // The caller may have ended its connection meanwhile.
+                        const bool IsLast =
+                            !m_KeepAlive || (m_ReadEnded && !m_NextRequest &&
+                                             !m_PendingRefusal);
+                        if (Error || IsLast) {
                           shutdown();
                           return;
                         }
