--- a/src/ragwortdrift/fleet/voter_plan.cpp
+++ b/src/ragwortdrift/fleet/voter_plan.cpp
@@ -40,9 +40,9 @@
   const auto Silent =
       std::ranges::max_element(Voters, {}, &VoterView::m_Silence);
   if (MayRemove && IsEven && HasLeaving) {
-    const std::size_t Others =
+    const std::size_t ResponsiveOthers =
         ResponsiveCount - (IsResponsive(*Leaving) ? 1 : 0);
-    if (2 * Others > Count - 1)
+    if (2 * ResponsiveOthers > Count - 1)
       return RemoveVoter{Leaving->m_Vm};
   }
   if (MayRemove && IsEven && !IsResponsive(*Silent))
