--- a/include/ragwortdrift/fleet/core_node.hpp
+++ b/include/ragwortdrift/fleet/core_node.hpp
@@ -6,6 +6,7 @@
 #include "ragwortdrift/base/metrics.hpp"
 #include "ragwortdrift/consensus/replicated_log.hpp"
 #include "ragwortdrift/fleet/confirmations.hpp"
+#include "ragwortdrift/fleet/core_directory.hpp"
 #include "ragwortdrift/fleet/fleet_settings.hpp"
 #include "ragwortdrift/fleet/leaf_list_reader.hpp"
 #include "ragwortdrift/fleet/list_updates.hpp"
@@ -158,7 +159,12 @@
   /// Requests the leader to remove this VM from the voters, until it decides.
   void requestLeave();
   void finishStop(std::string_view Outcome);
-  std::vector<std::string> otherCoreAddresses() const;
+  /// The directory with the members of the log as they are now.
+  const CoreDirectory &directory();
+  /// Other core VMs that run, as far as known.
+  std::vector<std::string> otherCoreAddresses();
+  /// Removes what is kept of VMs that are gone.
+  void evictFormerVms(const ReplicatedLogStatus &Status);
 
   // Watchers.
   void onWatchRequest(const PeerRequest &Request, const StreamPtr &Response);
@@ -270,7 +276,7 @@
   bool m_ConfirmationIsLate = false;
   std::map<LogIndex, RoutingCommandOutcome> m_AppliedOutcomes;
   std::map<VmId, TimePoint> m_PeerLastContactAt;
-  std::set<std::string> m_OtherCoreAddresses;
+  CoreDirectory m_Directory;
   std::string m_LeaderHint;
   std::size_t m_NextForwardIndex = 0;
   TimePoint m_LeaderSeenAt;
--- a/include/ragwortdrift/fleet/entry_control.hpp
+++ b/include/ragwortdrift/fleet/entry_control.hpp
@@ -5,6 +5,7 @@
 #include "ragwortdrift/base/boot_clock.hpp"
 #include "ragwortdrift/fleet/confirmations.hpp"
 #include "ragwortdrift/fleet/content_source.hpp"
+#include "ragwortdrift/fleet/core_selection.hpp"
 #include "ragwortdrift/fleet/fleet_settings.hpp"
 #include "ragwortdrift/fleet/leaf_list_reader.hpp"
 #include "ragwortdrift/fleet/messages.hpp"
@@ -46,6 +47,9 @@
   std::function<void(std::vector<CrashRecord>)> m_Crashes =
       [](const std::vector<CrashRecord> &) {};
   std::function<void(LimitReply)> m_LimitReply = [](const LimitReply &) {};
+  /// Called when the number of core VMs that are known or connected changes.
+  std::function<void(CoreSelection::Counts)> m_CoreCounts =
+      [](CoreSelection::Counts) {};
 };
 
 /// The control state of an entry VM. It watches the core VMs, adopts the newest
@@ -63,8 +67,8 @@
   EntryControl &operator=(const EntryControl &) = delete;
 
   void start();
-  /// Adds peer addresses of core VMs to watch.
-  void addCores(const std::vector<Endpoint> &Cores);
+  /// Replaces the peer addresses of core VMs from the settings.
+  void setCores(const std::vector<Endpoint> &Cores);
   /// Sends observations of leafs to the core VM that is the current source.
   void sendObservations(std::vector<LeafObservation> Observations);
   /// Sends what the traffic side has learned of requests that crash leafs to
@@ -95,7 +99,6 @@
   struct Watch {
     PeerCall m_Call;
     TimerService::Subscription m_Retry;
-    bool m_Connected = false;
     /// Boot time at which the watch was requested. The clock of the core VM is
     /// unknown until the first report.
     TimePoint m_OpenedAt;
@@ -109,7 +112,10 @@
     bool m_NeedsWholeList = false;
   };
 
-  void openMissingWatches();
+  /// Opens and closes watches as m_Selection decides. Not called while a watch
+  /// delivers a report, since it may close that one.
+  void updateWatches();
+  void scheduleWatchUpdate();
   void openWatch(const std::string &Address);
   void onWatchEnd(const std::string &Address,
                   const Result<Done, PeerError> &EndResult);
@@ -176,7 +182,9 @@
   RouteConfigReader m_ConfigReader;
   EntryUpdates m_Updates;
   std::map<std::string, Watch> m_Watches;
-  std::set<std::string> m_Cores;
+  CoreSelection m_Selection;
+  CoreSelection::Counts m_CoreCounts;
+  TimerService::Subscription m_WatchUpdateTimer;
   /// Address of the core VM that sends the content, empty while none is
   /// connected.
   std::string m_Source;
--- a/include/ragwortdrift/fleet/entry_traffic.hpp
+++ b/include/ragwortdrift/fleet/entry_traffic.hpp
@@ -3,6 +3,7 @@
 
 #include "ragwortdrift/base/asio_timer_driver.hpp"
 #include "ragwortdrift/dispatch/dispatcher.hpp"
+#include "ragwortdrift/fleet/core_selection.hpp"
 #include "ragwortdrift/fleet/fleet_settings.hpp"
 #include "ragwortdrift/net/http_server.hpp"
 
@@ -38,6 +39,7 @@
   void setDomainsOut(const std::set<FailureDomain> &Domains);
   void setLeafs(const LeafList &List);
   void setEntryCount(std::size_t Count);
+  void setCoreCounts(CoreSelection::Counts Counts);
   void setEstimates(const std::vector<LeafEstimate> &Estimates);
   /// Calls back periodically with the observations of leafs since the previous
   /// call, unless there are none.
--- a/src/ragwortdrift/fleet/core_membership.cpp
+++ b/src/ragwortdrift/fleet/core_membership.cpp
@@ -34,16 +34,38 @@
 
 } // namespace
 
-std::vector<std::string> CoreNode::otherCoreAddresses() const {
-  std::set<std::string> Addresses = m_OtherCoreAddresses;
+const CoreDirectory &CoreNode::directory() {
   if (m_Log) {
     const ReplicatedLogStatus Status = m_Log->status();
+    std::set<std::string> Addresses;
     for (const auto *Members : {&Status.m_Voters, &Status.m_Learners})
       for (const Member &Peer : *Members)
         Addresses.insert(Peer.m_Address);
+    m_Directory.setMembers(std::move(Addresses), Status.m_Leader.has_value());
+  } else {
+    m_Directory.loseLeader();
   }
-  Addresses.erase(m_Address);
-  return {Addresses.begin(), Addresses.end()};
+  return m_Directory;
+}
+
+std::vector<std::string> CoreNode::otherCoreAddresses() {
+  return directory().current(m_Timers.now());
+}
+
+void CoreNode::evictFormerVms(const ReplicatedLogStatus &Status) {
+  const TimePoint Now = m_Timers.now();
+  std::erase_if(m_LeavingVoters, [&](const auto &Entry) {
+    return Now - Entry.second > LeavingRetention;
+  });
+  std::erase_if(m_JoinCandidates, [&](const auto &Entry) {
+    return Now - Entry.second.m_RequestedAt > CandidateRetention;
+  });
+  std::erase_if(m_PeerLastContactAt, [&](const auto &Entry) {
+    const VmId &Vm = Entry.first;
+    const auto IsVm = [&](const Member &Peer) { return Peer.m_Key.m_Vm == Vm; };
+    return Vm != m_AddedVm && std::ranges::none_of(Status.m_Voters, IsVm) &&
+           std::ranges::none_of(Status.m_Learners, IsVm);
+  });
 }
 
 void CoreNode::updateMembership() {
@@ -59,6 +81,7 @@
     // has no record of which voters are unresponsive.
     m_PeerLastContactAt.clear();
   }
+  evictFormerVms(Status);
   if (m_LedAtLastCheck) {
     m_LeaderSeenAt = m_Timers.now();
     changeVoters();
@@ -77,7 +100,7 @@
 void CoreNode::sendJoinRequests() {
   const std::string Bytes =
       encode(JoinRequest{m_Address, m_Log->status().m_StoreId});
-  for (const std::string &Core : otherCoreAddresses()) {
+  for (const std::string &Core : directory().all(m_Timers.now())) {
     const auto Target = parseEndpoint(Core);
     if (!Target)
       continue;
@@ -95,9 +118,8 @@
               std::exchange(m_CanServeState, false))
             logEvent(LogSeverity::Warning, "state.stale",
                      {{"leader", Leader}, {"revision", m_State.m_Revision}});
-          for (const std::string &CoreAddress : valueOf(Reply).m_Cores)
-            if (CoreAddress != m_Address)
-              m_OtherCoreAddresses.insert(CoreAddress);
+          m_Directory.recordJoinReply(valueOf(Reply).m_Cores, !Leader.empty(),
+                                      m_Timers.now());
         },
         [Call](const Result<Done, PeerError> &) mutable { Call.reset(); });
   }
@@ -109,7 +131,7 @@
   Reply.m_Cores.push_back(m_Address);
   Response->send(encode(Reply));
   Response->finish();
-  m_OtherCoreAddresses.insert(Request.m_Address);
+  m_Directory.recordJoinRequest(Request.m_Address, m_Timers.now());
   // A VM that stopped and is back stays.
   m_LeavingVoters.erase(Sender);
   if (!m_Log || m_Stopping)
@@ -159,13 +181,8 @@
   }
   if (m_VoterChangePending)
     return;
-  std::erase_if(m_LeavingVoters, [&](const auto &Entry) {
-    return Now - Entry.second > LeavingRetention;
-  });
-  std::erase_if(m_JoinCandidates, [&](const auto &Entry) {
-    return Now - Entry.second.m_RequestedAt > CandidateRetention;
-  });
   const ReplicatedLogStatus Status = m_Log->status();
+  evictFormerVms(Status);
   std::vector<VoterView> Voters;
   for (const Member &Voter : Status.m_Voters) {
     const VmId &Vm = Voter.m_Key.m_Vm;
@@ -227,15 +244,12 @@
 
 void CoreNode::removeVoter(const VmId &Vm) {
   const ReplicatedLogStatus Status = m_Log->status();
-  const Member *Voter = findVoter(Status, Vm);
   logEvent(LogSeverity::Warning, "voter.removing",
            {{"vm", Vm},
             {"voters", Status.m_Voters.size()},
             {"leaving", m_LeavingVoters.contains(Vm)},
             {"silence_ms", m_Timers.now() - m_PeerLastContactAt[Vm]}});
   m_VoterChangePending = true;
-  if (Voter)
-    m_OtherCoreAddresses.erase(Voter->m_Address);
   m_Log->removeVoter(
       Vm, [this, Vm](const Result<Done, MembershipError> &RemoveResult) {
         logEvent(LogSeverity::Info, "voter.removed",
--- a/src/ragwortdrift/fleet/core_node.cpp
+++ b/src/ragwortdrift/fleet/core_node.cpp
@@ -73,7 +73,8 @@
       m_BootClock(std::move(Clock)), m_Driver(Io, m_Timers),
       m_PeerServer(Io, m_Timers, m_Settings.m_Key, VmId{m_Address}),
       m_PeerClient(Io, m_Timers, m_Settings.m_Key, VmId{m_Address}),
-      m_ListReader(Io, m_Settings.m_LeafList, std::move(Format)) {
+      m_ListReader(Io, m_Settings.m_LeafList, std::move(Format)),
+      m_Directory(m_Address) {
   setCores(m_Settings.m_Cores);
 }
 
@@ -442,7 +443,9 @@
     Leader = std::exchange(m_LeaderHint, {});
   if (!Leader.empty() && Leader != m_Address)
     return Leader;
-  const auto Addresses = otherCoreAddresses();
+  auto Addresses = otherCoreAddresses();
+  if (Addresses.empty())
+    Addresses = directory().all(m_Timers.now());
   return Addresses.empty() ? std::string()
                            : Addresses[m_NextForwardIndex++ % Addresses.size()];
 }
@@ -496,9 +499,10 @@
 }
 
 void CoreNode::setCores(std::vector<Endpoint> Cores) {
+  std::set<std::string> Addresses;
   for (const Endpoint &Core : Cores)
-    if (Core != m_Settings.m_Peers)
-      m_OtherCoreAddresses.insert(formatEndpoint(Core));
+    Addresses.insert(formatEndpoint(Core));
+  m_Directory.setConfigured(std::move(Addresses));
   m_Settings.m_Cores = std::move(Cores);
 }
 
@@ -548,6 +552,8 @@
       .set(static_cast<double>(m_PeerServer.unsentBytes()));
   m_Metrics.gauge("ragwortdrift_state_update_bytes")
       .set(static_cast<double>(m_StateUpdates.bytes()));
+  m_Metrics.gauge("ragwortdrift_cores_known")
+      .set(static_cast<double>(directory().all(m_Timers.now()).size()));
   m_Metrics.gauge("ragwortdrift_store_usable").set(m_Log ? 1 : 0);
   m_Metrics.gauge("ragwortdrift_config_version")
       .set(static_cast<double>(m_State.m_Config.m_Version));
--- a/src/ragwortdrift/fleet/entry_confirmation.cpp
+++ b/src/ragwortdrift/fleet/entry_confirmation.cpp
@@ -23,7 +23,7 @@
     return;
   m_Periodic.push_back(m_Timers.every(ClockReadInterval, [this] {
     for (const auto &[Address, CoreWatch] : m_Watches)
-      if (CoreWatch.m_Connected)
+      if (m_Selection.isConnected(Address))
         readClock(Address, CoreWatch.m_OpenedAt);
   }));
   m_Periodic.push_back(
--- a/src/ragwortdrift/fleet/entry_control.cpp
+++ b/src/ragwortdrift/fleet/entry_control.cpp
@@ -1,5 +1,6 @@
 #include "ragwortdrift/fleet/entry_control.hpp"
 
+#include "ragwortdrift/base/hash.hpp"
 #include "ragwortdrift/base/log.hpp"
 #include "ragwortdrift/fleet/list_updates.hpp"
 #include "ragwortdrift/fleet/state_updates.hpp"
@@ -11,11 +12,15 @@
 
 namespace {
 
-/// Maximum number of core VMs watched at once. Deployments have few core VMs,
-/// and any one of them may be the only one that is still reachable.
-constexpr std::size_t MaxWatches = 5;
+/// Maximum number of core VMs watched at once. All core VMs of the current
+/// deployments are watched, since any one of them may be the only one that is
+/// still reachable; with more of them each takes fewer connections.
+constexpr std::size_t MaxWatches = 10;
 /// A restarted core VM is available again within a second.
 constexpr std::chrono::milliseconds WatchRetryDelay{250};
+/// Delay for an address that only the settings name while core VMs are
+/// connected. Its VM may be gone for good, or return and join again.
+constexpr std::chrono::seconds UnnamedRetryDelay{1};
 /// Observations that arrive later than this are of no use.
 constexpr std::chrono::milliseconds ObservationTimeout{500};
 /// Peer calls need a deadline; a watch that reaches it is opened again.
@@ -64,6 +69,7 @@
       m_PeerClient(Io, m_Timers, m_Settings.m_Key, m_Settings.m_Vm),
       m_ListReader(Io, m_Settings.m_LeafList, std::move(Format)),
       m_ConfigReader(std::move(Reader)), m_Updates(std::move(Updates)),
+      m_Selection(stableHash(m_Settings.m_Vm.m_Value), MaxWatches),
       m_Life(makeLife()) {}
 
 EntryControl::~EntryControl() = default;
@@ -73,16 +79,18 @@
   m_StartedAt = m_Timers.now();
   m_ListConfirmedAt = m_Timers.now();
   m_ListRequestedAt = m_Timers.now();
-  addCores(m_Settings.m_Cores);
+  setCores(m_Settings.m_Cores);
   m_Periodic.push_back(
       m_Timers.every(ListCheckInterval, [this] { readListIfStale(); }));
   startConfirmation();
 }
 
-void EntryControl::addCores(const std::vector<Endpoint> &Cores) {
+void EntryControl::setCores(const std::vector<Endpoint> &Cores) {
+  std::set<std::string> Addresses;
   for (const Endpoint &Core : Cores)
-    m_Cores.insert(formatEndpoint(Core));
-  openMissingWatches();
+    Addresses.insert(formatEndpoint(Core));
+  m_Selection.setConfigured(std::move(Addresses));
+  updateWatches();
 }
 
 void EntryControl::sendObservations(std::vector<LeafObservation> Observations) {
@@ -97,24 +105,30 @@
       [Call](const Result<Done, PeerError> &) mutable { Call.reset(); });
 }
 
-void EntryControl::openMissingWatches() {
-  for (const std::string &Core : m_Cores) {
-    if (m_Watches.contains(Core))
-      continue;
-    if (m_Watches.size() >= MaxWatches) {
-      // Replace a core VM that does not answer by another one.
-      const auto Unreachable = std::find_if(
-          m_Watches.begin(), m_Watches.end(),
-          [](const auto &Entry) { return !Entry.second.m_Connected; });
-      if (Unreachable == m_Watches.end())
-        return;
-      m_Cores.erase(Unreachable->first);
-      m_Watches.erase(Unreachable);
-      openMissingWatches();
-      return;
-    }
-    openWatch(Core);
+void EntryControl::scheduleWatchUpdate() {
+  if (m_Selection.needsUpdate() && !m_WatchUpdateTimer)
+    m_WatchUpdateTimer = m_Timers.after(Duration{0}, [this] {
+      m_WatchUpdateTimer.reset();
+      updateWatches();
+    });
+}
+
+void EntryControl::updateWatches() {
+  const CoreSelection::Changes Changes = m_Selection.update(m_Source);
+  for (const std::string &Address : Changes.m_Forgotten) {
+    logEvent(LogSeverity::Info, "core.forgotten", {{"core", Address}});
+    m_Watches.erase(Address);
+  }
+  for (const std::string &Address : Changes.m_Closed) {
+    logEvent(LogSeverity::Info, "core.closed",
+             {{"core", Address}, {"limit", MaxWatches}});
+    m_Watches.erase(Address);
   }
+  for (const std::string &Address : Changes.m_Opened)
+    openWatch(Address);
+  if (const auto Counts = m_Selection.counts();
+      std::exchange(m_CoreCounts, Counts) != Counts)
+    m_Updates.m_CoreCounts(Counts);
 }
 
 void EntryControl::openWatch(const std::string &Address) {
@@ -148,9 +162,14 @@
   const auto Position = m_Watches.find(Address);
   if (Position == m_Watches.end())
     return;
+  const bool WasConnected = m_Selection.recordEnd(Address);
+  const Duration Delay = m_Selection.isExpectedToRun(Address)
+                             ? Duration{WatchRetryDelay}
+                             : Duration{UnnamedRetryDelay};
   Position->second.m_Retry =
-      m_Timers.after(WatchRetryDelay, [this, Address] { openWatch(Address); });
-  if (!std::exchange(Position->second.m_Connected, false))
+      m_Timers.after(Delay, [this, Address] { openWatch(Address); });
+  scheduleWatchUpdate();
+  if (!WasConnected)
     return;
   logEvent(LogSeverity::Warning, "core.lost",
            {{"core", Address},
@@ -160,7 +179,7 @@
     return;
   m_Source.clear();
   for (const auto &[OtherAddress, CoreWatch] : m_Watches)
-    if (CoreWatch.m_Connected) {
+    if (m_Selection.isConnected(OtherAddress)) {
       setSource(OtherAddress);
       return;
     }
@@ -236,7 +255,8 @@
                          Report.m_ListVersion};
   relateClocks(Sender, CoreWatch, Report);
   const TimePoint SentAt = sendingTime(CoreWatch, Report);
-  if (!std::exchange(CoreWatch.m_Connected, true)) {
+  if (m_Selection.recordReport(Sender, Report.m_Domain, Report.m_Cores,
+                               m_Timers.now())) {
     logEvent(LogSeverity::Info, "core.connected",
              {{"core", Sender}, {"revision", Report.m_Revision}});
     offerCrashes(Sender,
@@ -256,11 +276,8 @@
         std::max(m_ListConfirmedAt, m_Timers.now() - *Report.m_ListAge);
   // Core VMs may have seen different sets of entry VMs.
   raiseEntryCount(Report.m_EntryCount);
-  const std::size_t CoreCountBefore = m_Cores.size();
-  m_Cores.insert(Report.m_Cores.begin(), Report.m_Cores.end());
   considerSource(Sender);
-  if (m_Cores.size() != CoreCountBefore)
-    openMissingWatches();
+  scheduleWatchUpdate();
 }
 
 ContentVersion EntryControl::localVersion() const {
@@ -291,7 +308,7 @@
   m_SourceTimer = m_Timers.after(Delay, [this, Address] {
     m_SourceTimer.reset();
     const auto Position = m_Watches.find(Address);
-    if (Position != m_Watches.end() && Position->second.m_Connected &&
+    if (Position != m_Watches.end() && m_Selection.isConnected(Address) &&
         evaluateSource(Position->second) != SourceDecision::Keep)
       setSource(Address);
   });
--- a/src/ragwortdrift/fleet/entry_limits.cpp
+++ b/src/ragwortdrift/fleet/entry_limits.cpp
@@ -31,7 +31,7 @@
 std::string EntryControl::allocatorCandidate() const {
   std::vector<std::string> Connected;
   for (const auto &[Address, CoreWatch] : m_Watches)
-    if (CoreWatch.m_Connected)
+    if (m_Selection.isConnected(Address))
       Connected.push_back(Address);
   return Connected.empty() ? std::string()
                            : Connected[m_AllocatorMisses % Connected.size()];
--- a/src/ragwortdrift/fleet/entry_traffic.cpp
+++ b/src/ragwortdrift/fleet/entry_traffic.cpp
@@ -201,6 +201,14 @@
   updateConnectionLimits();
 }
 
+void EntryTraffic::setCoreCounts(CoreSelection::Counts Counts) {
+  MetricsRegistry &Metrics = m_Dispatcher.metrics();
+  Metrics.gauge("ragwortdrift_cores_known")
+      .set(static_cast<double>(Counts.m_Known));
+  Metrics.gauge("ragwortdrift_cores_connected")
+      .set(static_cast<double>(Counts.m_Connected));
+}
+
 void EntryTraffic::setEstimates(const std::vector<LeafEstimate> &Estimates) {
   m_Dispatcher.setEstimates(Estimates);
 }
--- a/src/ragwortdrift/fleet/fleet_test.cpp
+++ b/src/ragwortdrift/fleet/fleet_test.cpp
@@ -531,7 +531,9 @@
   Fleet.startInitialVoters();
   Fleet.submitUntilDecided(0, TestFleet::config(1));
   TestEntry Entry(Fleet);
-  cr_assert(Fleet.runUntil([&] { return !Entry.m_LeafLists.empty(); }));
+  // The first core VM that answers may have the list but not the state yet.
+  cr_assert(Fleet.runUntil(
+      [&] { return !Entry.m_LeafLists.empty() && !Entry.m_Versions.empty(); }));
   for (auto &Node : Fleet.m_Nodes)
     Node.reset();
   Fleet.m_ListPages["/"] = " a";
--- a/src/ragwortdrift/net/peer_client.cpp
+++ b/src/ragwortdrift/net/peer_client.cpp
@@ -95,6 +95,8 @@
         m_Limits(Limits) {}
 
   void startCall(const CallPtr &Call, const Address &Remote);
+  /// Forgets addresses that have not been called for a while.
+  void evictIdlePeers();
   void postError(const CallPtr &Call, PeerError Error);
   void shutdown();
 
@@ -437,6 +439,8 @@
 }
 
 void PeerClient::Impl::startCall(const CallPtr &Call, const Address &Remote) {
+  if (!m_Peers.contains(Remote))
+    evictIdlePeers();
   Peer &Entry = m_Peers[Remote];
   if (Entry.m_Session && !Entry.m_Session->acceptsCalls()) {
     m_Retired.push_back(Entry.m_Session);
@@ -453,6 +457,14 @@
     postError(Call, {PeerErrorCode::Refused, false});
 }
 
+void PeerClient::Impl::evictIdlePeers() {
+  const TimePoint Now = m_Timers.now();
+  std::erase_if(m_Peers, [&](const auto &Item) {
+    const Peer &Entry = Item.second;
+    return !Entry.m_Session && Now - Entry.m_NextConnectTime > IdleTimeout;
+  });
+}
+
 void PeerClient::Impl::shutdown() {
   m_Stopped = true;
   auto Sessions = m_Retired;
