--- a/include/ragwortdrift/routing/route_config.hpp
+++ b/include/ragwortdrift/routing/route_config.hpp
@@ -111,6 +111,18 @@
 /// appear in errors.
 std::vector<ConfigError> validateRouteConfig(const RouteConfig &Config);
 
+/// Longest name of a service, route or client account and longest host, in
+/// bytes. They appear in log lines and metrics of every VM.
+constexpr std::size_t MaxNameBytes = 1024;
+/// Longest path prefix and health path, in bytes; half of the request line that
+/// most clients and servers accept.
+constexpr std::size_t MaxPathBytes = 4096;
+
+/// Returns an error for each text above the limits, which does not contain that
+/// text. For configurations that operators submit: one that was accepted
+/// without limits stays in force.
+std::vector<ConfigError> checkTextLengths(const RouteConfig &Config);
+
 } // namespace ragwortdrift
 
 #endif
--- a/src/ragwortdrift/config/fields.cpp
+++ b/src/ragwortdrift/config/fields.cpp
@@ -1,5 +1,6 @@
 #include "ragwortdrift/config/fields.hpp"
 #include "ragwortdrift/config/catalog.hpp"
+#include "ragwortdrift/config/config_error_list.hpp"
 #include "ragwortdrift/config/settings.hpp"
 
 #include <boost/asio/ip/address.hpp>
@@ -47,14 +48,15 @@
 
 FieldError badValueError(std::string_view Value, std::string_view Expected) {
   std::ostringstream Out;
-  Out << '\'' << Value << "' is not " << Expected;
+  Out << '\'' << quoteText(Value) << "' is not " << Expected;
   return {ConfigErrorCode::BadValue, Out.str()};
 }
 
 std::string rangeErrorText(const FieldRule &Rule, std::string_view Value) {
   std::ostringstream Out;
   Out.precision(12);
-  Out << Value << " is outside " << Rule.m_Min << " to " << Rule.m_Max;
+  Out << quoteText(Value) << " is outside " << Rule.m_Min << " to "
+      << Rule.m_Max;
   return Out.str();
 }
 
--- a/src/ragwortdrift/config/ini.cpp
+++ b/src/ragwortdrift/config/ini.cpp
@@ -3,7 +3,6 @@
 #include <boost/property_tree/ini_parser.hpp>
 
 #include <algorithm>
-#include <limits>
 #include <set>
 #include <sstream>
 #include <utility>
@@ -49,7 +48,7 @@
 /// replaced by line numbers, so that the parser finds neither.
 class IniReader {
 public:
-  IniReader(std::vector<IniSection> &Sections, std::vector<ConfigError> &Errors)
+  IniReader(std::vector<IniSection> &Sections, ConfigErrorList &Errors)
       : m_Sections(Sections), m_Errors(Errors) {}
 
   void read(std::string_view Text) {
@@ -110,11 +109,11 @@
     return "[" + std::to_string(m_Line) + "]";
   }
 
-  std::string addError(ConfigErrorCode Code, std::string Key,
-                       std::string Detail) {
-    m_Errors.push_back({Code, m_Line,
-                        m_Sections.empty() ? "" : m_Sections.back().m_Header,
-                        std::move(Key), std::move(Detail)});
+  std::string addError(ConfigErrorCode Code, std::string_view Key,
+                       std::string_view Detail) {
+    const std::string_view Section =
+        m_Sections.empty() ? std::string_view() : m_Sections.back().m_Header;
+    m_Errors.add(Code, m_Line, Section, Key, Detail);
     return {};
   }
 
@@ -126,11 +125,8 @@
     try {
       boost::property_tree::read_ini(Batch, Tree);
     } catch (const boost::property_tree::ini_parser_error &E) {
-      m_Errors.push_back({ConfigErrorCode::Syntax,
-                          LinesBefore + E.line(),
-                          {},
-                          {},
-                          E.message()});
+      m_Errors.add(ConfigErrorCode::Syntax, LinesBefore + E.line(), {}, {},
+                   E.message());
     }
     for (; m_ParsedSections < m_Sections.size(); ++m_ParsedSections) {
       IniSection &Section = m_Sections[m_ParsedSections];
@@ -146,7 +142,7 @@
   }
 
   std::vector<IniSection> &m_Sections;
-  std::vector<ConfigError> &m_Errors;
+  ConfigErrorList &m_Errors;
   std::size_t m_Line = 0;
   /// Text that has not been passed to the INI parser yet.
   std::string m_PendingText;
@@ -159,21 +155,10 @@
 } // namespace
 
 std::vector<IniSection> readIni(std::string_view Text,
-                                std::vector<ConfigError> &Errors) {
+                                ConfigErrorList &Errors) {
   std::vector<IniSection> Sections;
   IniReader(Sections, Errors).read(Text);
   return Sections;
 }
 
-void sortByLine(std::vector<ConfigError> &Errors) {
-  const auto Rank = [](const ConfigError &Error) {
-    return Error.m_Line == 0 ? std::numeric_limits<std::size_t>::max()
-                             : Error.m_Line;
-  };
-  std::stable_sort(Errors.begin(), Errors.end(),
-                   [&](const ConfigError &A, const ConfigError &B) {
-                     return Rank(A) < Rank(B);
-                   });
-}
-
 } // namespace ragwortdrift::detail
--- a/src/ragwortdrift/config/ini.hpp
+++ b/src/ragwortdrift/config/ini.hpp
@@ -1,7 +1,7 @@
 #ifndef RAGWORTDRIFT_CONFIG_INI_HPP
 #define RAGWORTDRIFT_CONFIG_INI_HPP
 
-#include "ragwortdrift/config/manifest.hpp"
+#include "ragwortdrift/config/config_error_list.hpp"
 
 #include <string>
 #include <string_view>
@@ -26,11 +26,7 @@
 /// Reads INI text. Adds an error for each malformed line, repeated section and
 /// repeated key, and continues. The first of several equal keys is returned; a
 /// repeated section is returned as a separate section.
-std::vector<IniSection> readIni(std::string_view Text,
-                                std::vector<ConfigError> &Errors);
-
-/// Sorts by line; errors without a line come last.
-void sortByLine(std::vector<ConfigError> &Errors);
+std::vector<IniSection> readIni(std::string_view Text, ConfigErrorList &Errors);
 
 } // namespace ragwortdrift::detail
 
--- a/src/ragwortdrift/config/manifest.cpp
+++ b/src/ragwortdrift/config/manifest.cpp
@@ -33,21 +33,19 @@
     for (const IniSection &Section : Sections)
       readSection(Section);
     if (!m_SectionLines.contains({SectionKind::Manifest, ""}))
-      m_Errors.push_back({ConfigErrorCode::MissingKey, 0, "manifest", "name",
-                          "the section [manifest] is required"});
+      addError(ConfigErrorCode::MissingKey, 0, "manifest", "name",
+               "the section [manifest] is required");
     checkReferences();
-    if (!m_Errors.empty()) {
-      detail::sortByLine(m_Errors);
-      return std::move(m_Errors);
-    }
+    if (!m_Errors.empty())
+      return m_Errors.take();
     return std::move(m_Doc);
   }
 
 private:
-  void addError(ConfigErrorCode Code, std::size_t Line, std::string Section,
-                std::string Key, std::string Detail) {
-    m_Errors.push_back(
-        {Code, Line, std::move(Section), std::move(Key), std::move(Detail)});
+  void addError(ConfigErrorCode Code, std::size_t Line,
+                std::string_view Section, std::string_view Key,
+                std::string_view Detail) {
+    m_Errors.add(Code, Line, Section, Key, Detail);
   }
 
   void readSection(const IniSection &Section) {
@@ -106,7 +104,7 @@
       if (Rule.m_Section == Kind && Rule.m_Required &&
           !Values.contains(std::string(Rule.m_Key)))
         addError(ConfigErrorCode::MissingKey, Section.m_Line, Section.m_Header,
-                 std::string(Rule.m_Key), "the key is required");
+                 Rule.m_Key, "the key is required");
     for (const IniEntry &Entry : Section.m_Entries)
       if (Kind == SectionKind::Leaf && !m_InvalidLines.contains(Entry.m_Line))
         m_LeafEntries.push_back({Section.m_Header, Entry});
@@ -127,8 +125,8 @@
         if (!Inserted)
           addError(ConfigErrorCode::Duplicate, Entry.m_Line, Header,
                    Entry.m_Key,
-                   Entry.m_Value + " is already the address of [" +
-                       First->second + "]");
+                   quoteText(Entry.m_Value) + " is already the address of [" +
+                       quoteText(First->second) + "]");
       }
     }
     for (const auto &[Key, Line] : m_SectionLines)
@@ -143,10 +141,11 @@
     if (!m_SectionLines.contains({Kind, Entry.m_Value}))
       addError(ConfigErrorCode::UnknownReference, Entry.m_Line, Header,
                Entry.m_Key,
-               "[" + headerOf({Kind, Entry.m_Value}) + "] is not defined");
+               "[" + quoteText(headerOf({Kind, Entry.m_Value})) +
+                   "] is not defined");
   }
 
-  std::vector<ConfigError> m_Errors;
+  ConfigErrorList m_Errors;
   Document m_Doc;
   std::map<SectionKey, std::size_t> m_SectionLines;
   std::set<std::size_t> m_InvalidLines;
--- a/src/ragwortdrift/config/settings.cpp
+++ b/src/ragwortdrift/config/settings.cpp
@@ -38,17 +38,13 @@
       readSection(Section);
     for (const auto &[Section, Key] : RequiredKeys)
       if (!m_SeenKeys.contains({std::string(Section), std::string(Key)}))
-        m_Errors.push_back({ConfigErrorCode::MissingKey, lineOf(Section),
-                            std::string(Section), std::string(Key),
-                            "the key is required"});
+        m_Errors.add(ConfigErrorCode::MissingKey, lineOf(Section), Section, Key,
+                     "the key is required");
     if (!m_Settings.m_Bootstrap.empty() && !m_Settings.m_Folder)
-      m_Errors.push_back({ConfigErrorCode::MissingKey, lineOf("storage"),
-                          "storage", "folder",
-                          "a VM with bootstrap voters needs a data folder"});
-    if (!m_Errors.empty()) {
-      detail::sortByLine(m_Errors);
-      return std::move(m_Errors);
-    }
+      m_Errors.add(ConfigErrorCode::MissingKey, lineOf("storage"), "storage",
+                   "folder", "a VM with bootstrap voters needs a data folder");
+    if (!m_Errors.empty())
+      return m_Errors.take();
     return std::move(m_Settings);
   }
 
@@ -80,12 +76,10 @@
     for (const Rule &KnownRule : Rules)
       IsKnown |= KnownRule.m_Section == Section.m_Header;
     if (!IsKnown) {
-      m_Errors.push_back({ConfigErrorCode::UnknownSection,
-                          Section.m_Line,
-                          Section.m_Header,
-                          {},
-                          "expected vm, listen, peers, storage, consensus, "
-                          "traffic, log or charts"});
+      m_Errors.add(ConfigErrorCode::UnknownSection, Section.m_Line,
+                   Section.m_Header, {},
+                   "expected vm, listen, peers, storage, consensus, traffic, "
+                   "log or charts");
       return;
     }
     for (const IniEntry &Entry : Section.m_Entries)
@@ -100,13 +94,12 @@
       m_SeenKeys.emplace(std::pair(Section.m_Header, Entry.m_Key),
                          Entry.m_Line);
       if (const OptionalError Error = (this->*KnownRule.m_Handler)(Entry))
-        m_Errors.push_back({Error->m_Code, Entry.m_Line, Section.m_Header,
-                            Entry.m_Key, Error->m_Detail});
+        m_Errors.add(Error->m_Code, Entry.m_Line, Section.m_Header, Entry.m_Key,
+                     Error->m_Detail);
       return;
     }
-    m_Errors.push_back({ConfigErrorCode::UnknownKey, Entry.m_Line,
-                        Section.m_Header, Entry.m_Key,
-                        "the section has no such key"});
+    m_Errors.add(ConfigErrorCode::UnknownKey, Entry.m_Line, Section.m_Header,
+                 Entry.m_Key, "the section has no such key");
   }
 
   static OptionalError badValue(const IniEntry &Entry,
@@ -213,7 +206,7 @@
     return std::nullopt;
   }
 
-  std::vector<ConfigError> m_Errors;
+  ConfigErrorList m_Errors;
   Settings m_Settings;
   std::map<std::string, std::size_t> m_SectionLines;
   std::map<std::pair<std::string, std::string>, std::size_t> m_SeenKeys;
--- a/src/ragwortdrift/fleet/fleet_settings.cpp
+++ b/src/ragwortdrift/fleet/fleet_settings.cpp
@@ -243,7 +243,7 @@
 
 Result<FleetSettings, std::vector<ConfigError>>
 parseFleetSettings(std::string_view Text) {
-  std::vector<ConfigError> Errors;
+  ConfigErrorList Errors;
   FleetSettings Settings;
   std::set<const SettingRule *> SeenRules;
   for (const detail::IniSection &Section : detail::readIni(Text, Errors))
@@ -253,21 +253,19 @@
           continue;
         SeenRules.insert(&Rule);
         if (const ParseError Error = Rule.m_Parser(Settings, Entry.m_Value))
-          Errors.push_back({ConfigErrorCode::BadValue, Entry.m_Line,
-                            Section.m_Header, Entry.m_Key, *Error});
+          Errors.add(ConfigErrorCode::BadValue, Entry.m_Line, Section.m_Header,
+                     Entry.m_Key, *Error);
       }
   for (const SettingRule &Rule : settingRules())
     if (Rule.m_Required && !SeenRules.contains(&Rule))
-      Errors.push_back({ConfigErrorCode::MissingKey, 0,
-                        std::string(Rule.m_Section), std::string(Rule.m_Key),
-                        "the key is required"});
+      Errors.add(ConfigErrorCode::MissingKey, 0, Rule.m_Section, Rule.m_Key,
+                 "the key is required");
   if (Settings.m_OverrideCorePorts)
     for (Endpoint &Core : Settings.m_Cores)
       Core.m_Port = Settings.m_Peers.m_Port;
   if (Errors.empty())
     return Settings;
-  detail::sortByLine(Errors);
-  return Errors;
+  return Errors.take();
 }
 
 } // namespace ragwortdrift
--- a/src/ragwortdrift/routing/route_config.cpp
+++ b/src/ragwortdrift/routing/route_config.cpp
@@ -1,5 +1,7 @@
 #include "ragwortdrift/routing/route_config.hpp"
 
+#include "ragwortdrift/config/config_error_list.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <map>
@@ -41,13 +43,13 @@
     if (m_Config.m_Accounts)
       for (std::size_t I = 0; I < m_Config.m_Accounts->size(); ++I)
         validateAccount((*m_Config.m_Accounts)[I], I);
-    return std::move(m_Errors);
+    return m_Errors.take();
   }
 
 private:
-  void addError(ConfigErrorCode Code, const std::string &Section,
-                const char *Key, std::string Detail) {
-    m_Errors.push_back({Code, 0, Section, Key, std::move(Detail)});
+  void addError(ConfigErrorCode Code, std::string_view Section,
+                std::string_view Key, std::string_view Detail) {
+    m_Errors.add(Code, 0, Section, Key, Detail);
   }
 
   void validateRoute(const Route &Candidate) {
@@ -55,13 +57,13 @@
         Candidate.m_PathPrefix.front() != '/' ||
         Candidate.m_PathPrefix.back() != '/')
       addError(ConfigErrorCode::BadValue, Candidate.m_Name, "path prefix",
-               "'" + Candidate.m_PathPrefix +
+               "'" + quoteText(Candidate.m_PathPrefix) +
                    "' does not start and end with /");
     const auto [Existing, Inserted] = m_RouteByPath.emplace(
         std::pair(Candidate.m_Host, Candidate.m_PathPrefix), Candidate.m_Name);
     if (!Inserted)
       addError(ConfigErrorCode::Duplicate, Candidate.m_Name, "path prefix",
-               "the route " + Existing->second +
+               "the route " + quoteText(Existing->second) +
                    " has the same host and prefix");
     if (Candidate.m_Timeout <= Duration{0})
       addError(ConfigErrorCode::OutOfRange, Candidate.m_Name, "timeout",
@@ -79,9 +81,10 @@
     double Total = 0;
     for (const WeightedService &Target : Candidate.m_Services) {
       if (!m_Services.contains(Target.m_Service))
-        addError(
-            ConfigErrorCode::UnknownReference, Candidate.m_Name, "services",
-            "the service " + Target.m_Service.m_Value + " is not declared");
+        addError(ConfigErrorCode::UnknownReference, Candidate.m_Name,
+                 "services",
+                 "the service " + quoteText(Target.m_Service.m_Value) +
+                     " is not declared");
       if (!(Target.m_Weight >= 0) || !std::isfinite(Target.m_Weight))
         addError(ConfigErrorCode::OutOfRange, Candidate.m_Name, "weight",
                  "must be finite and at least 0");
@@ -136,11 +139,54 @@
   std::unordered_map<std::string_view, std::size_t> m_AccountByKey;
   std::set<ServiceName> m_Services;
   std::map<std::pair<std::string, std::string>, std::string> m_RouteByPath;
-  std::vector<ConfigError> m_Errors;
+  ConfigErrorList m_Errors;
+};
+
+/// Checks the texts of one record of a configuration.
+class LengthCheck {
+public:
+  LengthCheck(ConfigErrorList &Errors, std::string_view Kind, std::size_t Index,
+              std::string_view Name)
+      : m_Errors(Errors),
+        m_Section(Name.size() <= MaxNameBytes
+                      ? std::string(Name)
+                      : std::string(Kind) + " " + std::to_string(Index + 1)) {
+    check("name", Name, MaxNameBytes);
+  }
+  void check(std::string_view Key, std::string_view Text,
+             std::size_t MaxBytes) {
+    if (Text.size() > MaxBytes)
+      m_Errors.add(ConfigErrorCode::OutOfRange, 0, m_Section, Key,
+                   "has " + std::to_string(Text.size()) + " bytes, more than " +
+                       std::to_string(MaxBytes));
+  }
+
+private:
+  ConfigErrorList &m_Errors;
+  std::string m_Section;
 };
 
 } // namespace
 
+std::vector<ConfigError> checkTextLengths(const RouteConfig &Config) {
+  ConfigErrorList Errors;
+  for (std::size_t I = 0; I < Config.m_Services.size(); ++I) {
+    const RoutedService &Service = Config.m_Services[I];
+    LengthCheck Check(Errors, "service", I, Service.m_Name.m_Value);
+    Check.check("health path", Service.m_HealthPath, MaxPathBytes);
+  }
+  for (std::size_t I = 0; I < Config.m_Routes.size(); ++I) {
+    const Route &Item = Config.m_Routes[I];
+    LengthCheck Check(Errors, "route", I, Item.m_Name);
+    Check.check("host", Item.m_Host, MaxNameBytes);
+    Check.check("path prefix", Item.m_PathPrefix, MaxPathBytes);
+  }
+  if (Config.m_Accounts)
+    for (std::size_t I = 0; I < Config.m_Accounts->size(); ++I)
+      LengthCheck(Errors, "account", I, (*Config.m_Accounts)[I].m_Name);
+  return Errors.take();
+}
+
 std::size_t requiredResponses(const Route &Target) {
   if (Target.m_Kind == RouteKind::Single)
     return 1;
