Show late copies at any time, and apply the limit of a leaf's current service

Found beside it: a leaf that moved to another service at its address kept the connection limit of the former one, since the pool looked at the address only. leaf_pool/applies_limit_of_current_service failed before. Copies cannot pass between services: the ids of requests differ, and a failure without an id ends its connection.

--- a/src/ragwortdrift/dispatch/leaf_pool.cpp
+++ b/src/ragwortdrift/dispatch/leaf_pool.cpp
@@ -68,9 +68,10 @@
   if (!Upstream || Upstream->m_Address != Listed.m_Address) {
     Upstream = std::make_shared<Leaf>();
     Upstream->m_Id = Listed.m_Id;
-    Upstream->m_Service = Listed.m_Service;
     Upstream->m_Address = Listed.m_Address;
   }
+  // A leaf may move to another service, which has its own connection limit.
+  Upstream->m_Service = Listed.m_Service;
   return Upstream;
 }
 
--- a/src/ragwortdrift/dispatch/leaf_pool_test.cpp
+++ b/src/ragwortdrift/dispatch/leaf_pool_test.cpp
@@ -242,6 +242,93 @@
               Row.m_Name);
 }
 
+namespace {
+
+/// A copy of the response to an exchange that arrives at some later time, on
+/// the connection that carried the exchange.
+struct CopyTimeCase {
+  const char *m_Name;
+  /// Response that is sent a second time. Its request has the id "r0", or is a
+  /// health probe if the response has no id.
+  std::string m_Copied;
+  /// Exchanges between the copied one and the copy.
+  int m_ExchangesBetween;
+  /// The copy arrives while the connection is idle; else ahead of a response.
+  bool m_IsIdle;
+  /// The copy arrives in one packet with the response after it.
+  bool m_IsInPacketWithNext;
+};
+const std::string Interim = "HTTP/1.1 100 Continue\r\n\r\n";
+const std::string AnsweredProbe =
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+const CopyTimeCase CopyTimeCases[] = {
+    {"refusal, two exchanges later", refusalOf("r0"), 1, false, false},
+    {"refusal, five exchanges later", refusalOf("r0"), 4, false, false},
+    {"answer, two exchanges later", answerTo("r0"), 1, false, false},
+    {"probe, two exchanges later", AnsweredProbe, 1, false, false},
+    {"refusal, idle", refusalOf("r0"), 0, true, false},
+    {"refusal, idle after two exchanges", refusalOf("r0"), 1, true, false},
+    {"probe, idle", AnsweredProbe, 0, true, false},
+    {"refusal, with the next response", refusalOf("r0"), 0, false, true},
+    {"answer, with the next response", answerTo("r0"), 0, false, true},
+    {"probe, with the next response", AnsweredProbe, 0, false, true},
+    {"interim and refusal", Interim + refusalOf("r0"), 0, false, false},
+    {"interim and refusal, with the next response", Interim + refusalOf("r0"),
+     0, false, true},
+};
+
+} // namespace
+
+// Guards against a late copy of a response that is taken for a refusal at any
+// later time, so that a request which runs is sent again (review/7).
+TABLE_TEST(leaf_pool, believes_no_copy_at_any_time, CopyTimeCases) {
+  PoolFixture F;
+  F.m_ResponseBytes = Row.m_Copied;
+  F.m_RequestId = Row.m_Copied == AnsweredProbe ? "" : "r0";
+  cr_assert(isOk(F.request()), "%s", Row.m_Name);
+  for (int I = 0; I < Row.m_ExchangesBetween; ++I) {
+    F.m_RequestId = "between-" + std::to_string(I);
+    F.m_ResponseBytes = answerTo(F.m_RequestId);
+    cr_assert(isOk(F.request()), "%s", Row.m_Name);
+  }
+  cr_assert_eq(F.m_Accepted, 1, "%s", Row.m_Name);
+  F.m_RequestId = "last";
+  F.m_ResponseBytes = answerTo(F.m_RequestId);
+  if (Row.m_IsIdle) {
+    asio::write(*F.m_RequestSockets[0], asio::buffer(Row.m_Copied));
+    F.runUntil([&] { return F.m_Pool.connections() == 0; });
+    const auto Last = F.request();
+    cr_assert(isOk(Last) && valueOf(Last).result_int() == 200, "%s",
+              Row.m_Name);
+    cr_assert_eq(F.m_Accepted, 2, "%s", Row.m_Name);
+    return;
+  }
+  if (Row.m_IsInPacketWithNext) {
+    F.m_ResponseBytes = Row.m_Copied + F.m_ResponseBytes;
+  } else {
+    F.m_BytesBeforeResponse = Row.m_Copied;
+    F.m_SocketWithExtraBytes = F.m_RequestSockets[0];
+  }
+  const auto Last = F.request();
+  cr_assert(!isOk(Last) && errorOf(Last).m_MaybeSent, "%s", Row.m_Name);
+}
+
+// Guards against a leaf that moves to another service at its address and keeps
+// the connection limit of the former one.
+Test(leaf_pool, applies_limit_of_current_service) {
+  PoolFixture F;
+  F.m_Pool.setConnectionLimit(ServiceName{"service"}, 3);
+  F.m_Pool.setConnectionLimit(ServiceName{"other"}, 1);
+  cr_assert(isOk(F.request()));
+  F.m_Leaf.m_Service = ServiceName{"other"};
+  F.m_ResponseBytes.clear();
+  for (int I = 0; I < 3; ++I)
+    F.send([](const Result<HttpResponse, HttpError> &) {}, 3s);
+  F.runUntil([] { return false; }, 30ms);
+  cr_assert_eq(F.m_Requests, 2);
+  cr_assert_eq(F.m_Accepted, 1);
+}
+
 // Guards against a late response to a request that is taken for that to a
 // health probe.
 Test(leaf_pool, refuses_response_of_request_for_probe) {
