Tell late copies of leaf responses apart on the own interface

Leafs of ragwortdriftd returned no id of a request, so a refusal that a leaf sends twice passed for the refusal of the next request on the connection: a booking that runs was sent to another leaf, and a late answer reached another caller.

Each request carries Rd-Attempt-Id now, which leafs return. A response with another id counts as lost. One without an id is accepted only as the first on its connection, which is closed: leafs that do not know the field work on, with a connection for each request, and no second response can be read on it.

--- a/include/ragwortdrift/node/leaf_connections.hpp
+++ b/include/ragwortdrift/node/leaf_connections.hpp
@@ -12,7 +12,10 @@
 namespace ragwortdrift {
 
 /// The connections of the owner to one leaf, at most the leaf's connection
-/// limit. A request takes the most recently used idle connection.
+/// limit. A request takes the most recently used idle connection. A leaf
+/// returns the id of each request, so that a late copy of an earlier response
+/// is recognised. Without an id only the first response on a connection is
+/// accepted, and the connection is closed.
 class LeafConnections : public std::enable_shared_from_this<LeafConnections> {
 public:
   using Callback = HttpClientConnection::Callback;
@@ -25,12 +28,15 @@
     /// Time at which the connection was opened; nothing while it is being
     /// opened.
     std::optional<TimePoint> openedAt() const { return m_OpenedAt; }
+    /// True if the request has ended and its connection can be used again.
+    bool isConnectionKept() const { return m_IsConnectionKept; }
 
   private:
     friend class LeafConnections;
     Callback m_Callback;
     std::shared_ptr<HttpClientConnection> m_Connection;
     std::optional<TimePoint> m_OpenedAt;
+    bool m_IsConnectionKept = false;
   };
 
   LeafConnections(boost::asio::io_context &Io, TimerService &Timers,
@@ -53,11 +59,13 @@
   struct OpenConnection {
     std::shared_ptr<HttpClientConnection> m_Connection;
     TimePoint m_OpenedAt;
+    /// No request has been sent on it.
+    bool m_IsNew = false;
   };
 
   std::optional<OpenConnection> takeIdle();
   void send(const std::shared_ptr<Call> &OpenCall, HttpRequest Request,
-            Duration Timeout);
+            Duration Timeout, bool IsNewConnection);
   void remove(const std::shared_ptr<HttpClientConnection> &Connection);
 
   boost::asio::io_context &m_Io;
@@ -68,6 +76,8 @@
   /// Open connections without a request; the back is the most recently used.
   std::vector<OpenConnection> m_IdleConnections;
   std::size_t m_Preconnecting = 0;
+  /// Number of requests sent, the id of the last one.
+  std::uint64_t m_RequestCount = 0;
 };
 
 } // namespace ragwortdrift
--- a/src/ragwortdrift/node/leaf_connections.cpp
+++ b/src/ragwortdrift/node/leaf_connections.cpp
@@ -11,6 +11,7 @@
 /// A new connection costs a leaf up to 6 ms; an attempt that takes far longer
 /// has failed.
 constexpr std::chrono::milliseconds ConnectTimeout{250};
+constexpr const char *AttemptIdField = "Rd-Attempt-Id";
 
 } // namespace
 
@@ -28,7 +29,7 @@
   if (auto Idle = takeIdle()) {
     OpenCall->m_Connection = std::move(Idle->m_Connection);
     OpenCall->m_OpenedAt = Idle->m_OpenedAt;
-    send(OpenCall, std::move(Request), Timeout);
+    send(OpenCall, std::move(Request), Timeout, Idle->m_IsNew);
     return OpenCall;
   }
   if (m_Connections.size() >= m_MaxConnections) {
@@ -53,7 +54,7 @@
     }
     OpenCall->m_OpenedAt = Self->m_Timers.now();
     if (OpenCall->m_Callback)
-      Self->send(OpenCall, std::move(Request), Timeout);
+      Self->send(OpenCall, std::move(Request), Timeout, true);
     else
       Self->remove(Connection);
   };
@@ -64,21 +65,34 @@
 }
 
 void LeafConnections::send(const std::shared_ptr<Call> &OpenCall,
-                           HttpRequest Request, Duration Timeout) {
+                           HttpRequest Request, Duration Timeout,
+                           bool IsNewConnection) {
   auto Connection = OpenCall->m_Connection;
-  Connection->send(std::move(Request), Timeout,
-                   [Self = shared_from_this(), OpenCall,
-                    Connection](Result<HttpResponse, HttpError> Outcome) {
-                     OpenCall->m_Connection = nullptr;
-                     if (Connection->usable())
-                       Self->m_IdleConnections.push_back(
-                           {Connection, *OpenCall->m_OpenedAt});
-                     else
-                       Self->remove(Connection);
-                     if (auto Callback =
-                             std::exchange(OpenCall->m_Callback, nullptr))
-                       Callback(std::move(Outcome));
-                   });
+  const std::string AttemptId = std::to_string(++m_RequestCount);
+  Request.set(AttemptIdField, AttemptId);
+  Connection->send(
+      std::move(Request), Timeout,
+      [Self = shared_from_this(), OpenCall, Connection, AttemptId,
+       IsNewConnection](Result<HttpResponse, HttpError> Outcome) {
+        OpenCall->m_Connection = nullptr;
+        if (isOk(Outcome)) {
+          const auto ReturnedId = valueOf(Outcome)[AttemptIdField];
+          if (ReturnedId != AttemptId)
+            Connection->close();
+          if (ReturnedId != AttemptId &&
+              !(ReturnedId.empty() && IsNewConnection))
+            Outcome = HttpError{HttpErrorCode::BadResponse, true,
+                                "response without the id of the request"};
+        }
+        OpenCall->m_IsConnectionKept = Connection->usable();
+        if (Connection->usable())
+          Self->m_IdleConnections.push_back(
+              {Connection, *OpenCall->m_OpenedAt});
+        else
+          Self->remove(Connection);
+        if (auto Callback = std::exchange(OpenCall->m_Callback, nullptr))
+          Callback(std::move(Outcome));
+      });
 }
 
 void LeafConnections::preconnect(std::size_t Count) {
@@ -93,7 +107,7 @@
                           --Self->m_Preconnecting;
                           if (isOk(Outcome))
                             Self->m_IdleConnections.push_back(
-                                {Connection, Self->m_Timers.now()});
+                                {Connection, Self->m_Timers.now(), true});
                           else
                             Self->remove(Connection);
                         });
--- a/src/ragwortdrift/node/owned_leaf.cpp
+++ b/src/ragwortdrift/node/owned_leaf.cpp
@@ -164,7 +164,7 @@
   Answer.m_BootId = Headers.m_BootId;
   Answer.m_Cold = Headers.m_Cold;
   Answer.m_Leaving = Headers.m_ShuttingDown;
-  complete(Ticket, Answer, isOk(Outcome));
+  complete(Ticket, Answer, Request.m_Call->isConnectionKept());
   Response.m_LeafReport = m_Gate.report();
   sendResponse(Ticket);
 }
--- a/src/ragwortdrift/tools/leaf/leaf_session.cpp
+++ b/src/ragwortdrift/tools/leaf/leaf_session.cpp
@@ -235,6 +235,9 @@
   m_Response.set(http::field::content_type, "application/json");
   m_Response.set("Rd-Snapshots", Model.snapshotList());
   m_Response.set("Rd-Boot-Id", Model.bootId());
+  // Tells the response to this request from a late one to another.
+  if (const std::string AttemptId = header("Rd-Attempt-Id"); !AttemptId.empty())
+    m_Response.set("Rd-Attempt-Id", AttemptId);
   m_Response.set("Rd-Load", std::to_string(Model.load()));
   if (NotExecuted)
     m_Response.set("Rd-Not-Run", "1");
