--- a/include/ragwortdrift/net/http_server.hpp
+++ b/include/ragwortdrift/net/http_server.hpp
@@ -2,6 +2,7 @@
 #define RAGWORTDRIFT_NET_HTTP_SERVER_HPP
 
 #include "ragwortdrift/base/result.hpp"
+#include "ragwortdrift/base/time.hpp"
 #include "ragwortdrift/net/http_types.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -25,11 +26,13 @@
   /// Bytes of requests that are not answered yet, on all connections together.
   /// Above that, incomplete requests are refused, the oldest first.
   std::size_t m_MaxRequestBytes = std::size_t{32} * 1024 * 1024;
-  /// Time-out of a connection on which no byte of the next request has arrived.
-  std::chrono::seconds m_IdleTimeout{60};
+  /// Time-out of a connection that has no request open and on which no byte of
+  /// the next one has arrived.
+  Duration m_IdleTimeout = std::chrono::seconds(60);
   /// Time from the first byte of a request to the end of its header.
-  std::chrono::seconds m_HeaderTimeout{10};
-  std::chrono::seconds m_BodyTimeout{10};
+  Duration m_HeaderTimeout = std::chrono::seconds(10);
+  /// Time from the end of the header to the end of the body.
+  Duration m_BodyTimeout = std::chrono::seconds(10);
   std::chrono::seconds m_WriteTimeout{10};
 };
 
--- a/src/ragwortdrift/fleet/entry_traffic.cpp
+++ b/src/ragwortdrift/fleet/entry_traffic.cpp
@@ -63,13 +63,11 @@
 constexpr double AccountsAgeShare = 0.8;
 
 HttpLimits makeHttpLimits(const CallerLimits &Caller) {
-  using std::chrono::ceil;
-  using std::chrono::seconds;
   HttpLimits Limits;
   Limits.m_MaxHeaderBytes = Caller.m_MaxHeaderBytes;
   Limits.m_MaxBodyBytes = Caller.m_MaxBodyBytes;
-  Limits.m_IdleTimeout = ceil<seconds>(Caller.m_IdleTimeout);
-  Limits.m_HeaderTimeout = ceil<seconds>(Caller.m_HeaderTimeout);
+  Limits.m_IdleTimeout = Caller.m_IdleTimeout;
+  Limits.m_HeaderTimeout = Caller.m_HeaderTimeout;
   Limits.m_MaxConnections = MaxCallerConnections;
   return Limits;
 }
--- a/src/ragwortdrift/net/http_server.cpp
+++ b/src/ragwortdrift/net/http_server.cpp
@@ -82,7 +82,8 @@
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
 public:
   HttpConnection(tcp::socket Socket, HttpServer &Server)
-      : m_Stream(std::move(Socket)), m_Server(Server) {}
+      : m_Stream(std::move(Socket)), m_Server(Server),
+        m_ReadTimer(m_Stream.get_executor()) {}
 
   void start() { awaitRequest(); }
 
@@ -143,8 +144,7 @@
     const HttpLimits &Limits = m_Server.m_Limits;
     m_Reader.begin({Limits.m_MaxHeaderBytes, Limits.m_MaxBodyBytes});
     m_WaitingSince = std::chrono::steady_clock::now();
-    m_Stream.expires_after(m_Reader.heldBytes() == 0 ? Limits.m_IdleTimeout
-                                                     : Limits.m_HeaderTimeout);
+    m_PartSince = m_WaitingSince;
     m_HeaderArrived = false;
     readHeader();
   }
@@ -165,7 +165,7 @@
     if (!m_Reader.hasHeader())
       return receive();
     m_HeaderArrived = true;
-    m_Stream.expires_after(m_Server.m_Limits.m_BodyTimeout);
+    m_PartSince = std::chrono::steady_clock::now();
     // The request before this one is handled first.
     asio::post(m_Stream.get_executor(),
                [Continue = guarded([this](beast::error_code, std::size_t) {
@@ -187,10 +187,13 @@
   }
 
   void receive() {
-    m_Stream.async_read_some(
+    limitRead();
+    m_Stream.socket().async_read_some(
         m_Reader.prepare(),
         guarded([this, IsFirst = m_Reader.heldBytes() ==
                                  0](beast::error_code Error, std::size_t Size) {
+          if (m_ReadTimedOut)
+            return Error ? onCallerGone() : ignoreInput();
           m_Reader.commit(Size);
           if (Error == asio::error::eof && m_HeaderArrived)
             Error = m_Reader.parseEnd();
@@ -199,12 +202,67 @@
           if (m_ReadEnded)
             return;
           if (IsFirst)
-            m_Stream.expires_after(m_Server.m_Limits.m_HeaderTimeout);
+            m_PartSince = std::chrono::steady_clock::now();
           onProgress();
           m_HeaderArrived ? readMessage() : readHeader();
         }));
   }
 
+  /// Sets the time-out of the read in progress. There is none while a caller
+  /// waits for a response and has not begun another request.
+  void limitRead() {
+    const HttpLimits &Limits = m_Server.m_Limits;
+    if (m_HeaderArrived)
+      startReadTimer(m_PartSince + Limits.m_BodyTimeout);
+    else if (m_Reader.heldBytes() > 0)
+      startReadTimer(m_PartSince + Limits.m_HeaderTimeout);
+    else if (!m_Current && !m_Writing)
+      startReadTimer(m_WaitingSince + Limits.m_IdleTimeout);
+    else
+      m_ReadTimer.cancel();
+  }
+
+  void startReadTimer(std::chrono::steady_clock::time_point Deadline) {
+    m_ReadTimer.expires_at(Deadline);
+    // A timer that has expired cannot be cancelled any more; its handler checks
+    // whether the deadline has moved.
+    m_ReadTimer.async_wait(
+        [Weak = weak_from_this()](const beast::error_code &Error) {
+          const auto Self = Weak.lock();
+          if (Self && !Error &&
+              Self->m_ReadTimer.expiry() <= std::chrono::steady_clock::now())
+            Self->onReadTimeout();
+        });
+  }
+
+  /// Ends the connection, or lets it end with the response to the request
+  /// before the incomplete one.
+  void onReadTimeout() {
+    if (m_ReadEnded)
+      return;
+    endRead();
+    m_ReadTimedOut = true;
+    if (!m_Current && !m_Writing)
+      shutdown();
+  }
+
+  void onCallerGone() {
+    if (m_Current)
+      abortExchange();
+    if (!m_Writing)
+      shutdown();
+  }
+
+  /// Reads and drops bytes until the connection ends.
+  void ignoreInput() {
+    m_DropBuffer.resize(DropBytes);
+    m_Stream.socket().async_read_some(
+        asio::buffer(m_DropBuffer),
+        guarded([this](beast::error_code Error, std::size_t) {
+          Error ? onCallerGone() : ignoreInput();
+        }));
+  }
+
   void onHandlerFailed() {
     endRead();
     shutdown();
@@ -239,6 +297,7 @@
       return onReadError(http::error::bad_method);
     }
     m_HasSentRequest = true;
+    m_ReadTimer.cancel();
     countRequestBytes();
     dispatchNext();
   }
@@ -313,6 +372,8 @@
                         }
                         // The time without an exchange begins here.
                         m_WaitingSince = std::chrono::steady_clock::now();
+                        if (!m_NextRequest && !m_ReadEnded)
+                          limitRead();
                         dispatchNext();
                       }));
   }
@@ -337,6 +398,7 @@
   /// Marks the pending read as abandoned; its handler then has no effect.
   void endRead() {
     m_ReadEnded = true;
+    m_ReadTimer.cancel();
     countRequestBytes();
   }
 
@@ -349,10 +411,7 @@
       dispatchNext();
       return;
     }
-    if (m_Current)
-      abortExchange();
-    if (!m_Writing)
-      shutdown();
+    onCallerGone();
   }
 
   void abortExchange() {
@@ -376,6 +435,7 @@
       abortExchange();
     close();
     m_ReadEnded = true;
+    m_ReadTimer.cancel();
     m_NextRequest.reset();
     countRequestBytes();
     m_Server.m_Connections.erase(shared_from_this());
@@ -392,12 +452,19 @@
   HttpResponse m_Response;
   /// Start of the wait for the request that is not complete yet.
   std::chrono::steady_clock::time_point m_WaitingSince;
+  /// Start of the part that is being read: a header or a body.
+  std::chrono::steady_clock::time_point m_PartSince;
+  /// Limits the read in progress, which Beast's timers cannot: they hold from
+  /// the start of a read, and the next request is read while one is open.
+  asio::steady_timer m_ReadTimer;
   std::size_t m_RequestBytes = 0;
   char m_IgnoredByte = 0;
   /// The end of the header has arrived of the request that is being read.
   bool m_HeaderArrived = false;
   bool m_HasSentRequest = false;
   bool m_ReadEnded = false;
+  /// The read ended since a request did not arrive in time.
+  bool m_ReadTimedOut = false;
   bool m_Writing = false;
   bool m_KeepAlive = true;
   /// The refusal of what has arrived is being written.
