Give the entry VM of a test a format for the leaf list

Cause: the entry VM of the fixture reads the list itself after 150 ms, at a port that was free when it was chosen, with a format of empty functions. If another server has taken the port since, the connection is opened and the empty function called.

The product always has a format. The test asserts the same as before.

--- a/src/ragwortdrift/fleet/config_freshness_test.cpp
+++ b/src/ragwortdrift/fleet/config_freshness_test.cpp
@@ -43,6 +43,17 @@
   bool m_SendsState = true;
 };
 
+/// Format of a list that cannot be read. The address of its server is free when
+/// it is chosen, but another server may have taken it since.
+LeafListFormat unreadableList() {
+  LeafListFormat Format;
+  Format.m_MakeTarget = [](const std::string &) { return std::string("/"); };
+  Format.m_ParsePage = [](std::string_view) -> Result<LeafListPage, ListError> {
+    return ListError{ListErrorCode::BadPage, "no list"};
+  };
+  return Format;
+}
+
 /// The control state of an entry VM that watches two fake core VMs. The text of
 /// a configuration is its version; version 9 cannot be read.
 struct FreshnessFixture {
@@ -78,7 +89,7 @@
       m_AccountsConfirmedAt = Time;
     };
     m_Entry = std::make_unique<EntryControl>(
-        m_Io, Settings, LeafListFormat{},
+        m_Io, Settings, unreadableList(),
         [](std::string_view Text)
             -> Result<RouteConfig, std::vector<ConfigError>> {
           if (Text == "9")
@@ -232,7 +243,7 @@
     ConfirmedAt = Time.value_or(TimePoint{});
   };
   EntryControl Late(
-      EntryIo, Settings, LeafListFormat{},
+      EntryIo, Settings, unreadableList(),
       [](std::string_view Text)
           -> Result<RouteConfig, std::vector<ConfigError>> {
         RouteConfig Config;
