--- a/src/ragwortdrift/net/http_server.cpp
+++ b/src/ragwortdrift/net/http_server.cpp
@@ -219,22 +219,29 @@
     else if (!m_Current && !m_Writing)
       startReadTimer(m_WaitingSince + Limits.m_IdleTimeout);
     else
-      m_ReadTimer.cancel();
+      stopReadTimer();
   }
 
   void startReadTimer(std::chrono::steady_clock::time_point Deadline) {
     m_ReadTimer.expires_at(Deadline);
-    // A timer that has expired cannot be cancelled any more; its handler checks
-    // whether the deadline has moved.
+    // A timer that has expired cannot be cancelled any more; the number tells
+    // it from later ones.
     m_ReadTimer.async_wait(
-        [Weak = weak_from_this()](const beast::error_code &Error) {
+        [Weak = weak_from_this(),
+         Number = ++m_ReadTimerNumber](const beast::error_code &Error) {
           const auto Self = Weak.lock();
-          if (Self && !Error &&
-              Self->m_ReadTimer.expiry() <= std::chrono::steady_clock::now())
-            Self->onReadTimeout();
+          if (Self && !Error && Self->m_ReadTimerNumber == Number)
+            runGuarded(
+                Self->m_Stream.socket(), [&] { Self->onReadTimeout(); },
+                [&] { Self->onHandlerFailed(); });
         });
   }
 
+  void stopReadTimer() {
+    ++m_ReadTimerNumber;
+    m_ReadTimer.cancel();
+  }
+
   /// Ends the connection, or lets it end with the response to the request
   /// before the incomplete one.
   void onReadTimeout() {
@@ -297,7 +304,7 @@
       return onReadError(http::error::bad_method);
     }
     m_HasSentRequest = true;
-    m_ReadTimer.cancel();
+    stopReadTimer();
     countRequestBytes();
     dispatchNext();
   }
@@ -398,7 +405,7 @@
   /// Marks the pending read as abandoned; its handler then has no effect.
   void endRead() {
     m_ReadEnded = true;
-    m_ReadTimer.cancel();
+    stopReadTimer();
     countRequestBytes();
   }
 
@@ -435,7 +442,7 @@
       abortExchange();
     close();
     m_ReadEnded = true;
-    m_ReadTimer.cancel();
+    stopReadTimer();
     m_NextRequest.reset();
     countRequestBytes();
     m_Server.m_Connections.erase(shared_from_this());
@@ -457,6 +464,7 @@
   /// Limits the read in progress, which Beast's timers cannot: they hold from
   /// the start of a read, and the next request is read while one is open.
   asio::steady_timer m_ReadTimer;
+  std::uint64_t m_ReadTimerNumber = 0;
   std::size_t m_RequestBytes = 0;
   char m_IgnoredByte = 0;
   /// The end of the header has arrived of the request that is being read.
