--- a/include/ragwortdrift/routing/route_config.hpp
+++ b/include/ragwortdrift/routing/route_config.hpp
@@ -51,7 +51,8 @@
   int m_Priority = 0;
   /// Maximum number of leafs of one service that may execute a request.
   unsigned m_MaxAttempts = 1;
-  /// Single: alternatives by weight. Search: all shards, weights unused.
+  /// Single: alternatives by weight. Search: all shards, weights unused; a shard
+  /// may be repeated, which has no effect.
   std::vector<WeightedService> m_Services;
   /// Search: maximum number of records in a response.
   std::size_t m_MaxRecords = 0;
@@ -64,7 +65,8 @@
   friend bool operator==(const Route &, const Route &) = default;
 };
 
-/// Number of services of a route that must respond for a success.
+/// Number of services that must respond for a success of a route without
+/// repeated shards.
 std::size_t requiredResponses(const Route &Target);
 
 /// Properties of a service that apply to all its leafs.
--- a/include/ragwortdrift/routing/route_table.hpp
+++ b/include/ragwortdrift/routing/route_table.hpp
@@ -8,7 +8,9 @@
 
 namespace ragwortdrift {
 
-/// Immutable lookup of the route of a request in one configuration.
+/// Immutable lookup of the route of a request in one configuration. The shards
+/// of its searches are sets: one that the configuration names repeatedly stands
+/// once, where it is named first.
 class RouteTable {
 public:
   explicit RouteTable(RouteConfig Config);
@@ -24,7 +26,8 @@
   const AccountTable *accounts() const {
     return m_Accounts ? &*m_Accounts : nullptr;
   }
-  /// Returns the configuration without its accounts.
+  /// Returns the configuration without its accounts and without repeated
+  /// shards.
   const RouteConfig &config() const { return m_Config; }
 
 private:
--- a/src/ragwortdrift/routing/route_table.cpp
+++ b/src/ragwortdrift/routing/route_table.cpp
@@ -1,6 +1,7 @@
 #include "ragwortdrift/routing/route_table.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace ragwortdrift {
@@ -15,9 +16,20 @@
   return Out;
 }
 
+/// Removes all entries of a shard but the first.
+void removeRepeats(std::vector<WeightedService> &Shards) {
+  std::set<ServiceName> Seen;
+  std::erase_if(Shards, [&](const WeightedService &Shard) {
+    return !Seen.insert(Shard.m_Service).second;
+  });
+}
+
 } // namespace
 
 RouteTable::RouteTable(RouteConfig Config) : m_Config(std::move(Config)) {
+  for (Route &Item : m_Config.m_Routes)
+    if (Item.m_Kind == RouteKind::Search)
+      removeRepeats(Item.m_Services);
   if (m_Config.m_Accounts)
     m_Accounts.emplace(*std::exchange(m_Config.m_Accounts, std::nullopt));
   for (const Route &Item : m_Config.m_Routes)
--- a/src/ragwortdrift/routing/routing_test.cpp
+++ b/src/ragwortdrift/routing/routing_test.cpp
@@ -96,6 +96,33 @@
                                   {"one weight of 0", {3, 0, 2}},
                                   {"fractions", {0.25, 0.5, 0.125, 0.125}}};
 
+struct ShardCase {
+  const char *m_Name;
+  std::vector<const char *> m_Entries;
+  double m_MinCoverage;
+  std::vector<const char *> m_Shards;
+  std::size_t m_Required;
+};
+const ShardCase ShardCases[] = {
+    {"each shard once", {"b", "a"}, 1, {"b", "a"}, 2},
+    {"one shard five times", {"a", "a", "a", "a", "a"}, 0.5, {"a"}, 1},
+    {"first shard again at the end",
+     {"a", "b", "c", "d", "a"},
+     0.8,
+     {"a", "b", "c", "d"},
+     4},
+    {"repeats would raise the number",
+     {"a", "b", "c", "c", "c"},
+     0.6,
+     {"a", "b", "c"},
+     2},
+    {"repeats would lower the share",
+     {"a", "b", "b", "b", "c"},
+     0.75,
+     {"a", "b", "c"},
+     3},
+};
+
 } // namespace
 
 // Guards against applying an invalid configuration, and against a refusal that
@@ -124,6 +151,36 @@
     cr_assert_eq(Found->m_Name, Row.m_Route, "%s", Row.m_Path);
 }
 
+// Guards against a search that asks a shard twice because the configuration
+// names it twice, and against coverage by the number of names (review/12).
+TABLE_TEST(route_table, holds_each_shard_of_search_once, ShardCases) {
+  RouteConfig Config = validConfig();
+  Route &Search = Config.m_Routes[0];
+  Search.m_Kind = RouteKind::Search;
+  Search.m_MinCoverage = Row.m_MinCoverage;
+  Search.m_Services.clear();
+  for (const char *Name : Row.m_Entries)
+    Search.m_Services.push_back(weighted(Name));
+  std::vector<WeightedService> Expected;
+  for (const char *Name : Row.m_Shards)
+    Expected.push_back(weighted(Name));
+  const RouteTable Table(Config);
+  const Route *Found = Table.find("x.example", "/p/1");
+  cr_assert(Found && Found->m_Services == Expected, "%s", Row.m_Name);
+  cr_assert_eq(requiredResponses(*Found), Row.m_Required, "%s", Row.m_Name);
+}
+
+// Guards against a share that shrinks because the weights of a service that is
+// named twice are not added.
+Test(route_table, keeps_all_weights_of_service) {
+  RouteConfig Config = validConfig();
+  const std::vector<WeightedService> Weights = {
+      weighted("a", 1), weighted("b", 1), weighted("a", 2)};
+  Config.m_Routes[0].m_Services = Weights;
+  const RouteTable Table(Config);
+  cr_assert(Table.find("x.example", "/p/1")->m_Services == Weights);
+}
+
 // Guards against shares that are met only in the long-term average.
 TABLE_TEST(weighted_round_robin, meets_weights_at_any_time, WeightCases) {
   std::vector<WeightedService> Services;
