Count a test program whose report jq cannot read as failed

Cause: Criterion does not escape quotes in the text of an assertion. jq refused the report, the empty number was a syntax error in bash's arithmetic, and that error ends the loop over the programs without failing the script.

lab_test TestReport: a message with quotes, and damaged reports.

--- a/scripts/lab/lab_test.py
+++ b/scripts/lab/lab_test.py
@@ -6,7 +6,7 @@
 import types
 import unittest
 
-from lab import bounds, load, sites
+from lab import bounds, load, sites, test_report
 from lab.config_observer import ConfigObserver
 
 
@@ -139,6 +139,35 @@
         self.assertEqual(count, {"argani": 105, "railrover": 86})
 
 
+def criterion_report(status, messages, **counts):
+    """Returns the report of a program with a passed test and one of the given status."""
+    counts = {"passed": 1, "failed": 1, "errored": 0, **counts}
+    numbers = "".join(f'  "{key}": {value},\n' for key, value in counts.items())
+    return ('{\n' + numbers + '  "test_suites": [\n    {\n      "name": "s",\n      "tests": [\n'
+            '        {\n          "name": "one",\n          "assertions": 1,\n          "status": "PASSED"\n'
+            '        },\n        {\n          "name": "two",\n          "assertions": 1,\n'
+            f'          "status": "{status}",\n          "messages": [\n' + messages +
+            '          ]\n        }\n      ]\n    }\n  ]\n}\n')
+
+
+class TestReport(unittest.TestCase):
+    def test_reads_failed_tests(self):
+        """Guards against a failed test whose message has a quote, after which no further program was run."""
+        for messages in ("", '            "a.cpp:1: (x) is false."\n',
+                         '            "a.cpp:1: (f(" ")) == (1) is false."\n            "\\q ] \\"\n'):
+            for status in ("FAILED", "ERRORED"):
+                with self.subTest(messages=messages, status=status):
+                    self.assertEqual(test_report.read(criterion_report(status, messages)), (1, ["s/two"]))
+
+    def test_rejects_incomplete_reports(self):
+        """Guards against failed tests that are not counted since their report is damaged."""
+        report = criterion_report("FAILED", "")
+        for text in ("", "{}", report[:-10], criterion_report("FAILED", "", failed=0),
+                     criterion_report("PASSED", ""), criterion_report("PASSED", "", failed=0)):
+            with self.subTest(text=text), self.assertRaises(test_report.ReportError):
+                test_report.read(text)
+
+
 class Local(unittest.TestCase):
     def test_waits_for_signal_with_closed_input(self):
         """Guards against a local deployment that exits with EOFError because standard input is closed."""
