--- a/include/ragwortdrift/routing/route_config.hpp
+++ b/include/ragwortdrift/routing/route_config.hpp
@@ -120,10 +120,11 @@
 /// most clients and servers accept.
 constexpr std::size_t MaxPathBytes = 4096;
 
-/// Returns an error for each text above the limits, which does not contain that
-/// text. For configurations that operators submit: one that was accepted
-/// without limits stays in force.
-std::vector<ConfigError> checkTextLengths(const RouteConfig &Config);
+/// Returns the errors of a configuration that an operator submits, beyond those
+/// of validateRouteConfig(): texts above the limits. The errors do not contain
+/// these texts. A configuration that was accepted without these checks stays in
+/// force.
+std::vector<ConfigError> checkSubmittedConfig(const RouteConfig &Config);
 
 } // namespace ragwortdrift
 
--- a/src/ragwortdrift/routing/route_config.cpp
+++ b/src/ragwortdrift/routing/route_config.cpp
@@ -168,7 +168,7 @@
 
 } // namespace
 
-std::vector<ConfigError> checkTextLengths(const RouteConfig &Config) {
+std::vector<ConfigError> checkSubmittedConfig(const RouteConfig &Config) {
   ConfigErrorList Errors;
   for (std::size_t I = 0; I < Config.m_Services.size(); ++I) {
     const RoutedService &Service = Config.m_Services[I];
