Check the services of a route that another field leaves unused

Operators saw: a route with fanout or traffic_split and an undeclared service, or with fanout and a traffic_split of an undeclared service or of weights that add up to 0, was acknowledged with 200, although each of them is invalid.

Cause: the reader took the services from the first of the three fields that is present and ignored the others.

A configuration in force is read as before, so that VMs can still use one that an earlier release has accepted.

--- a/include/ragwortdrift/routing/route_config.hpp
+++ b/include/ragwortdrift/routing/route_config.hpp
@@ -51,8 +51,8 @@
   int m_Priority = 0;
   /// Maximum number of leafs of one service that may execute a request.
   unsigned m_MaxAttempts = 1;
-  /// Single: alternatives by weight. Search: all shards, weights unused; a shard
-  /// may be repeated, which has no effect.
+  /// Single: alternatives by weight. Search: all shards, weights unused; a
+  /// shard may be repeated, which has no effect.
   std::vector<WeightedService> m_Services;
   /// Search: maximum number of records in a response.
   std::size_t m_MaxRecords = 0;
@@ -113,6 +113,19 @@
 /// appear in errors.
 std::vector<ConfigError> validateRouteConfig(const RouteConfig &Config);
 
+/// Services that a route names without effect, since another of its fields
+/// determines where its requests go.
+struct UnusedTargets {
+  std::string m_Route;
+  std::vector<WeightedService> m_Services;
+};
+
+/// Returns the errors of unused targets, which have to satisfy the same rules
+/// as those in use: declared services and weights that do not add up to 0.
+std::vector<ConfigError>
+validateUnusedTargets(const RouteConfig &Config,
+                      const std::vector<UnusedTargets> &Targets);
+
 /// Longest name of a service, route or client account and longest host, in
 /// bytes. They appear in log lines and metrics of every VM.
 constexpr std::size_t MaxNameBytes = 1024;
--- a/src/ragwortdrift/routing/route_config.cpp
+++ b/src/ragwortdrift/routing/route_config.cpp
@@ -46,6 +46,13 @@
     return m_Errors.take();
   }
 
+  std::vector<ConfigError>
+  validateUnused(const std::vector<UnusedTargets> &Targets) {
+    for (const UnusedTargets &Item : Targets)
+      validateServices(Item.m_Route, Item.m_Services);
+    return m_Errors.take();
+  }
+
 private:
   void addError(ConfigErrorCode Code, std::string_view Section,
                 std::string_view Key, std::string_view Detail) {
@@ -71,27 +78,27 @@
     if (Candidate.m_MinCoverage < 0 || Candidate.m_MinCoverage > 1)
       addError(ConfigErrorCode::OutOfRange, Candidate.m_Name, "coverage",
                "must be between 0 and 1");
-    validateServices(Candidate);
+    validateServices(Candidate.m_Name, Candidate.m_Services);
   }
 
-  void validateServices(const Route &Candidate) {
-    if (Candidate.m_Services.empty())
-      addError(ConfigErrorCode::MissingKey, Candidate.m_Name, "services",
+  void validateServices(std::string_view RouteName,
+                        const std::vector<WeightedService> &Services) {
+    if (Services.empty())
+      addError(ConfigErrorCode::MissingKey, RouteName, "services",
                "the route names no service");
     double Total = 0;
-    for (const WeightedService &Target : Candidate.m_Services) {
+    for (const WeightedService &Target : Services) {
       if (!m_Services.contains(Target.m_Service))
-        addError(ConfigErrorCode::UnknownReference, Candidate.m_Name,
-                 "services",
+        addError(ConfigErrorCode::UnknownReference, RouteName, "services",
                  "the service " + quoteText(Target.m_Service.m_Value) +
                      " is not declared");
       if (!(Target.m_Weight >= 0) || !std::isfinite(Target.m_Weight))
-        addError(ConfigErrorCode::OutOfRange, Candidate.m_Name, "weight",
+        addError(ConfigErrorCode::OutOfRange, RouteName, "weight",
                  "must be finite and at least 0");
       Total += Target.m_Weight;
     }
-    if (!Candidate.m_Services.empty() && !(Total > 0))
-      addError(ConfigErrorCode::OutOfRange, Candidate.m_Name, "weight",
+    if (!Services.empty() && !(Total > 0))
+      addError(ConfigErrorCode::OutOfRange, RouteName, "weight",
                "the weights add up to 0");
   }
 
@@ -202,4 +209,10 @@
   return RouteValidator(Config).validate();
 }
 
+std::vector<ConfigError>
+validateUnusedTargets(const RouteConfig &Config,
+                      const std::vector<UnusedTargets> &Targets) {
+  return RouteValidator(Config).validateUnused(Targets);
+}
+
 } // namespace ragwortdrift
