Refuse routes whose hosts differ only in case or port

Operators saw: a configuration with two routes of one prefix and hosts that differ only in case (or a port) was acknowledged. All requests went to the first route; the second was never used, and nothing said so.

Cause: requests are matched with normalized hosts, but the check for two routes with the same host and prefix compared the texts.

Change: the check of submitted configurations compares normalized hosts. A configuration in force is read without it, since an earlier release may have accepted it.

--- a/include/ragwortdrift/routing/route_config.hpp
+++ b/include/ragwortdrift/routing/route_config.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace ragwortdrift {
@@ -133,9 +134,14 @@
 /// most clients and servers accept.
 constexpr std::size_t MaxPathBytes = 4096;
 
+/// Returns a host as requests are matched with it: in lower case and without a
+/// port.
+std::string normalizedHost(std::string_view Host);
+
 /// Returns the errors of a configuration that an operator submits, beyond those
-/// of validateRouteConfig(): texts above the limits. The errors do not contain
-/// these texts. A configuration that was accepted without these checks stays in
+/// of validateRouteConfig(): texts above the limits, whose errors do not
+/// contain them, and routes with one prefix whose hosts are equal once
+/// normalized. A configuration that was accepted without these checks stays in
 /// force.
 std::vector<ConfigError> checkSubmittedConfig(const RouteConfig &Config);
 
--- a/src/ragwortdrift/routing/route_config.cpp
+++ b/src/ragwortdrift/routing/route_config.cpp
@@ -173,8 +173,31 @@
   std::string m_Section;
 };
 
+/// Adds an error for each route that is never used, since an earlier one has
+/// the same prefix and a host that differs only in case or port.
+void checkHosts(ConfigErrorList &Errors, const std::vector<Route> &Routes) {
+  using Place = std::pair<std::string, std::string_view>;
+  std::map<Place, std::string_view> Names;
+  for (const Route &Item : Routes) {
+    const auto [Existing, Inserted] = Names.emplace(
+        Place(normalizedHost(Item.m_Host), Item.m_PathPrefix), Item.m_Name);
+    if (!Inserted)
+      Errors.add(ConfigErrorCode::Duplicate, 0, Item.m_Name, "host",
+                 "the route " + quoteText(Existing->second) +
+                     " has the same host and prefix");
+  }
+}
+
 } // namespace
 
+std::string normalizedHost(std::string_view Host) {
+  std::string Out(Host.substr(0, Host.find(':')));
+  for (char &C : Out)
+    if (C >= 'A' && C <= 'Z')
+      C = static_cast<char>(C - 'A' + 'a');
+  return Out;
+}
+
 std::vector<ConfigError> checkSubmittedConfig(const RouteConfig &Config) {
   ConfigErrorList Errors;
   for (std::size_t I = 0; I < Config.m_Services.size(); ++I) {
@@ -191,6 +214,7 @@
   if (Config.m_Accounts)
     for (std::size_t I = 0; I < Config.m_Accounts->size(); ++I)
       LengthCheck(Errors, "account", I, (*Config.m_Accounts)[I].m_Name);
+  checkHosts(Errors, Config.m_Routes);
   return Errors.take();
 }
 
--- a/src/ragwortdrift/routing/route_table.cpp
+++ b/src/ragwortdrift/routing/route_table.cpp
@@ -8,14 +8,6 @@
 
 namespace {
 
-std::string normalizedHost(std::string_view Host) {
-  std::string Out(Host.substr(0, Host.find(':')));
-  for (char &C : Out)
-    if (C >= 'A' && C <= 'Z')
-      C = static_cast<char>(C - 'A' + 'a');
-  return Out;
-}
-
 /// Removes all entries of a shard but the first.
 void removeRepeats(std::vector<WeightedService> &Shards) {
   std::set<ServiceName> Seen;
