Keep the state of a route by host and prefix, not by its name

Callers saw: with two routes of one name, which is valid, requests were not distributed by the weights: of alternate requests to a route that splits 1 to 1 and one that splits 9 to 1, the first service of the first route got 1 of 6.

Cause: the state of routes was kept by name. Routes with one name shared the weighted round robin, which requires the same list in all calls, the latencies that set the hedge delay, and the longest time-out of callers.

Change: the state is kept by host and path prefix, which are unique within a configuration.

Test: route_stats/are_separate_for_routes_with_one_name, failed before ("s1: 1 of 6"); all 295 tests of dispatch_test pass with the change.

--- a/include/ragwortdrift/dispatch/dispatcher.hpp
+++ b/include/ragwortdrift/dispatch/dispatcher.hpp
@@ -18,6 +18,8 @@
 #include "ragwortdrift/policy/repair_limit.hpp"
 #include "ragwortdrift/routing/route_table.hpp"
 
+#include <tuple>
+
 namespace ragwortdrift {
 
 struct DispatchOptions {
@@ -64,6 +66,23 @@
   Duration m_MaxCallerTimeout{0};
 };
 
+/// Identifies a route within a configuration. Names of routes do not: several
+/// routes may have the same one.
+struct RouteKey {
+  std::string m_Host;
+  std::string m_PathPrefix;
+};
+
+/// Orders routes by their keys; also compares a Route with a RouteKey.
+struct RouteOrder {
+  using is_transparent = void;
+  template <class Left, class Right>
+  bool operator()(const Left &A, const Right &B) const {
+    return std::tie(A.m_Host, A.m_PathPrefix) <
+           std::tie(B.m_Host, B.m_PathPrefix);
+  }
+};
+
 /// Forwards caller requests to leafs: selects a leaf, retries and hedges within
 /// the retry budget, merges shard responses, and decides when to respond. Not
 /// thread-safe; all calls come from one thread.
@@ -263,7 +282,7 @@
   }
   /// Returns the time until a leaf of a service may be available.
   std::optional<Duration> availableIn(const ServiceName &Service) const;
-  RouteStats &stats(const Route &Target) { return m_Stats[Target.m_Name]; }
+  RouteStats &stats(const Route &Target);
   void verify(const std::shared_ptr<LeafView> &View, std::string_view Cause);
   void probe(const std::shared_ptr<LeafView> &View, Duration RetryDelay);
   void onProbe(const std::shared_ptr<LeafView> &View, Duration RetryDelay,
@@ -348,7 +367,7 @@
   RolloutGate m_RolloutGate;
   std::function<void()> m_OnLimitsNeeded;
   AccountGate m_AccountGate;
-  std::map<std::string, RouteStats> m_Stats;
+  std::map<RouteKey, RouteStats, RouteOrder> m_Stats;
   std::map<LeafId, TimerService::Subscription> m_Probes;
   std::map<LeafId, LeafObservation> m_Observed;
   CrashSuspects m_Suspects;
--- a/src/ragwortdrift/dispatch/dispatcher.cpp
+++ b/src/ragwortdrift/dispatch/dispatcher.cpp
@@ -100,10 +100,10 @@
   logEvent(LogSeverity::Info, "routes.in_force",
            {{"version", routes()->config().m_Version},
             {"routes", routes()->config().m_Routes.size()}});
-  std::map<std::string, RouteStats> NextStats;
+  std::map<RouteKey, RouteStats, RouteOrder> NextStats;
   for (const Route &Item : routes()->config().m_Routes) {
-    RouteStats &Stats = NextStats[Item.m_Name];
-    const auto OldStats = m_Stats.find(Item.m_Name);
+    RouteStats &Stats = NextStats[{Item.m_Host, Item.m_PathPrefix}];
+    const auto OldStats = m_Stats.find(Item);
     if (OldStats != m_Stats.end())
       Stats = OldStats->second;
     // Weights and time-outs may differ from those of the previous version.
@@ -114,6 +114,13 @@
   selectSubsets();
 }
 
+RouteStats &Dispatcher::stats(const Route &Target) {
+  const auto Found = m_Stats.find(Target);
+  if (Found != m_Stats.end())
+    return Found->second;
+  return m_Stats[{Target.m_Host, Target.m_PathPrefix}];
+}
+
 std::vector<RoutedService> Dispatcher::services() const {
   std::map<ServiceName, RoutedService> Services;
   for (const auto &Table : {m_ConfigSwitch.held(), m_ConfigSwitch.current()})
