Take "unchanged" for accepted after an unknown outcome in fleet tests

Trace (log of the first): "command.applied index=3 outcome=accepted version=1", then "index=4 outcome=unchanged version=1" 44 ms before the assertion; of the second: index 11 accepted, index 13 unchanged, version 2. The fixture resends a command while its outcome is unknown, as operators do; the first copy had been committed, and a copy of what is in force is answered "unchanged" by design.

Change: after an attempt with UnknownOutcome, and only then, "unchanged" counts as accepted if a majority confirms that the state holds exactly that configuration. After an error that says that the command was not executed it still fails the test, so the check is as strict for what must hold.

--- a/src/ragwortdrift/fleet/fleet_fixture.hpp
+++ b/src/ragwortdrift/fleet/fleet_fixture.hpp
@@ -152,13 +152,22 @@
     cr_assert(runUntil([&] { return Reply.has_value(); }, 3s));
     return *Reply;
   }
-  /// Resends a command until its outcome is known, as operators do.
+  /// Resends a command until its outcome is known, as operators do. A copy that
+  /// changes nothing means that the command was accepted if the outcome of an
+  /// earlier copy is unknown and the state then holds the command.
   RoutingCommandOutcome submitUntilDecided(std::size_t Index,
                                            const RoutingCommand &Command) {
+    bool MayBeCommitted = false;
     for (int Attempt = 0; Attempt < 100; ++Attempt) {
       const auto CommandResult = submit(Index, Command);
       if (isOk(CommandResult))
-        return valueOf(CommandResult);
+        return MayBeCommitted && isInForce(Index, Command) &&
+                       valueOf(CommandResult) ==
+                           RoutingCommandOutcome::Unchanged
+                   ? RoutingCommandOutcome::Accepted
+                   : valueOf(CommandResult);
+      MayBeCommitted = MayBeCommitted || errorOf(CommandResult).m_Code ==
+                                             CoreErrorCode::UnknownOutcome;
       runUntil([] { return false; }, 50ms);
     }
     cr_assert_fail("the outcome is still unknown after 100 attempts");
@@ -190,6 +199,17 @@
     cr_assert(runUntil([&] { return Reply.has_value(); }, 4s));
     return std::move(*Reply);
   }
+  /// Returns true if the state that a majority confirms holds a configuration.
+  bool isInForce(std::size_t Index, const RoutingCommand &Command) {
+    const auto *Config = std::get_if<SetConfig>(&Command);
+    for (int Attempt = 0; Config && Attempt < 100; ++Attempt) {
+      const auto State = read(Index);
+      if (isOk(State))
+        return valueOf(State).m_Config == Config->m_Config;
+      runUntil([] { return false; }, 50ms);
+    }
+    return false;
+  }
   static RoutingCommand config(std::uint64_t Version,
                                const std::string &Text = {}) {
     return SetConfig{{Version, Text.empty() ? std::to_string(Version) : Text}};
