--- a/src/ragwortdrift/routing/account_table_test.cpp
+++ b/src/ragwortdrift/routing/account_table_test.cpp
@@ -102,6 +102,18 @@
   }
 }
 
+// Guards against a refusal of an account that lists a key twice, and against a
+// second entry of that key.
+Test(account_table, takes_repeated_key_of_account_for_one) {
+  RouteConfig Config;
+  Config.m_Accounts = validAccounts();
+  (*Config.m_Accounts)[0].m_Keys.assign(4, "key-a1");
+  cr_assert(validateRouteConfig(Config).empty());
+  const AccountTable Table(*Config.m_Accounts);
+  cr_assert_eq(Table.find("key-a1")->m_Name, "alpha");
+  cr_assert_null(Table.find("key-a2"));
+}
+
 // Guards against a search that does not end, and against keys that are kept in
 // the configuration beside their digests.
 Test(account_table, holds_no_keys_in_route_table) {
