--- a/src/ragwortdrift/routing/route_table.cpp
+++ b/src/ragwortdrift/routing/route_table.cpp
@@ -10,9 +10,9 @@
 
 /// Removes all entries of a shard but the first.
 void removeRepeats(std::vector<WeightedService> &Shards) {
-  std::set<ServiceName> Seen;
+  std::set<ServiceName> Names;
   std::erase_if(Shards, [&](const WeightedService &Shard) {
-    return !Seen.insert(Shard.m_Service).second;
+    return !Names.insert(Shard.m_Service).second;
   });
 }
 
