Wait for voters that stand still before a core VM stops

Cause: a stop gave up its request to leave after 2 s, and asked the last leader that it knew. Voters sync their log on the thread that sends heartbeats, so while disks stand they elect nobody and answer nothing for that long.

Evidence: "voter.stopping outcome=timeout elapsed_ms=2567" after a change of the leader, in seconds in which all VMs together applied a few commands. The new planned_replacement/leaves_after_others_stood_still plays it with VMs whose handlers do not run for 3 s: before, the stop ended within these, as a voter of four; now it waits and leaves.

Change: LeaveDeadline decides without a network. Voters that do not answer are waited for until 0.5 s before the end of the stop time. Voters whose host refuses connections, or that stop as well (a new outcome of the request), elect nobody; without a majority of the others the stop ends after 2 s, as before. All voters are asked, so a new leader hears of the request. PeerError tells a refused connection from one that is not answered.

Tests: the fixture bounded every stop by 3 s. The bound is the stop time now, and 3 s where no majority is left, as in ends_in_time_without_majority. peer/ reconnects_after_server_loss checks the new field as well.

--- a/include/ragwortdrift/fleet/core_node.hpp
+++ b/include/ragwortdrift/fleet/core_node.hpp
@@ -9,6 +9,7 @@
 #include "ragwortdrift/fleet/core_directory.hpp"
 #include "ragwortdrift/fleet/fleet_settings.hpp"
 #include "ragwortdrift/fleet/leaf_list_reader.hpp"
+#include "ragwortdrift/fleet/leave_deadline.hpp"
 #include "ragwortdrift/fleet/list_updates.hpp"
 #include "ragwortdrift/fleet/messages.hpp"
 #include "ragwortdrift/fleet/observation_aggregator.hpp"
@@ -158,6 +159,7 @@
   void removeLostLearner(const ReplicatedLogStatus &Status);
   /// Requests the leader to remove this VM from the voters, until it decides.
   void requestLeave();
+  void sendLeaveRequest(const std::string &Voter);
   void finishStop(std::string_view Outcome);
   /// The directory with the members of the log as they are now.
   const CoreDirectory &directory();
@@ -296,11 +298,10 @@
   bool m_EntryCountPending = false;
   bool m_Stopping = false;
   std::function<void()> m_OnStopReady;
-  TimePoint m_StopRequestedAt;
+  std::optional<LeaveDeadline> m_LeaveDeadline;
   TimerService::Subscription m_LeaveTimer;
-  PeerCall m_LeaveCall;
-  /// Address of the last known leader.
-  std::string m_LeaveTarget;
+  /// Requests to leave in progress, by the address of the voter.
+  std::map<std::string, PeerCall> m_LeaveCalls;
   std::map<std::uint64_t, Watcher> m_Watchers;
   std::uint64_t m_NextWatcherId = 0;
   std::uint64_t m_StatesSent = 0;
--- a/include/ragwortdrift/fleet/messages.hpp
+++ b/include/ragwortdrift/fleet/messages.hpp
@@ -240,14 +240,17 @@
   Left,
   /// The sender stays a voter, since the others alone would tolerate fewer
   /// losses.
-  Stays
+  Stays,
+  /// The receiver is stopping as well.
+  Stopping
 };
 template <> struct EnumNames<LeaveOutcome> {
   using Row = EnumName<LeaveOutcome>;
   static constexpr std::array Entries{
       Row{LeaveOutcome::NotLeader, "not_leader"},
       Row{LeaveOutcome::Pending, "pending"}, Row{LeaveOutcome::Left, "left"},
-      Row{LeaveOutcome::Stays, "stays"}};
+      Row{LeaveOutcome::Stays, "stays"},
+      Row{LeaveOutcome::Stopping, "stopping"}};
 };
 
 /// Response to a core VM that stops and requests to leave the voters.
--- a/include/ragwortdrift/net/peer_client.hpp
+++ b/include/ragwortdrift/net/peer_client.hpp
@@ -34,6 +34,8 @@
   PeerErrorCode m_Code{};
   /// False only if the server's handler did not receive the request.
   bool m_MaybeSent = false;
+  /// The host refused the connection, so no process listens at the address.
+  bool m_IsRefused = false;
 
   friend bool operator==(const PeerError &, const PeerError &) = default;
 };
--- a/src/ragwortdrift/fleet/core_leave.cpp
+++ b/src/ragwortdrift/fleet/core_leave.cpp
@@ -12,25 +12,24 @@
 constexpr std::chrono::milliseconds LeaveInterval{50};
 /// A leader responds within a round trip.
 constexpr std::chrono::milliseconds LeaveTimeout{300};
-/// Upper bound of the stop's delay. Two changes of the voters take some round
-/// trips and syncs; the process is killed after the stop time of its settings.
-constexpr std::chrono::milliseconds MaxLeaveTime{2000};
 
 } // namespace
 
 void CoreNode::beginStop(std::function<void()> OnReady) {
   m_Stopping = true;
   m_OnStopReady = std::move(OnReady);
-  m_StopRequestedAt = m_Timers.now();
+  m_LeaveDeadline.emplace(m_Timers.now(), m_Settings.m_StopTime);
   requestLeave();
 }
 
 void CoreNode::requestLeave() {
-  const Duration Limit =
-      std::min<Duration>(MaxLeaveTime, m_Settings.m_StopTime / 2);
   if (!m_Log)
     return finishStop("no_store");
-  if (m_Timers.now() - m_StopRequestedAt >= Limit)
+  std::vector<std::string> Others;
+  for (const Member &Voter : m_Log->status().m_Voters)
+    if (Voter.m_Address != m_Address)
+      Others.push_back(Voter.m_Address);
+  if (m_LeaveDeadline->hasPassed(Others, m_Timers.now()))
     return finishStop("timeout");
   m_LeaveTimer = m_Timers.after(LeaveInterval, [this] { requestLeave(); });
   // The new leader decides, since one that removes itself leaves the others
@@ -39,21 +38,28 @@
     m_Log->transferLeadership();
     return;
   }
-  // A VM that is removed hears no more of its leader, which may still have to
-  // confirm the removal.
-  if (const std::string Leader = leaderAddress(); !Leader.empty())
-    m_LeaveTarget = Leader;
-  const auto Leader = parseEndpoint(m_LeaveTarget);
-  if (!Leader || m_LeaveCall.isOpen())
+  // All voters are asked: a VM that is removed hears no more of its leader,
+  // which may still have to confirm the removal, nor of the next one.
+  for (const std::string &Voter : Others)
+    sendLeaveRequest(Voter);
+}
+
+void CoreNode::sendLeaveRequest(const std::string &Voter) {
+  PeerCall &Call = m_LeaveCalls[Voter];
+  const auto Target = parseEndpoint(Voter);
+  if (!Target || Call.isOpen())
     return;
   auto Outcome = std::make_shared<LeaveOutcome>(LeaveOutcome::NotLeader);
-  m_LeaveCall = m_PeerClient.open(
-      Leader->m_Ip, Leader->m_Port, "/leave", {}, LeaveTimeout,
+  Call = m_PeerClient.open(
+      Target->m_Ip, Target->m_Port, "/leave", {}, LeaveTimeout,
       [Outcome](const std::string &Message) {
         if (const auto Reply = decode<LeaveReply>(Message); isOk(Reply))
           *Outcome = valueOf(Reply).m_Outcome;
       },
-      [this, Outcome](const Result<Done, PeerError> &) {
+      [this, Outcome, Voter](const Result<Done, PeerError> &EndResult) {
+        m_LeaveDeadline->setGone(
+            Voter, *Outcome == LeaveOutcome::Stopping ||
+                       (!isOk(EndResult) && errorOf(EndResult).m_IsRefused));
         if (*Outcome == LeaveOutcome::Left || *Outcome == LeaveOutcome::Stays)
           finishStop(nameOf(*Outcome));
       });
@@ -66,7 +72,7 @@
     return;
   logEvent(LogSeverity::Info, "voter.stopping",
            {{"outcome", Outcome},
-            {"elapsed_ms", m_Timers.now() - m_StopRequestedAt}});
+            {"elapsed_ms", m_Timers.now() - m_LeaveDeadline->requestedAt()}});
   OnReady();
 }
 
--- a/src/ragwortdrift/fleet/core_membership.cpp
+++ b/src/ragwortdrift/fleet/core_membership.cpp
@@ -151,7 +151,8 @@
 }
 
 void CoreNode::onLeaveRequest(const VmId &Sender, const StreamPtr &Response) {
-  LeaveReply Reply{LeaveOutcome::NotLeader};
+  LeaveReply Reply{m_Stopping ? LeaveOutcome::Stopping
+                              : LeaveOutcome::NotLeader};
   if (isLeader() && !m_Stopping) {
     m_LeavingVoters[Sender] = m_Timers.now();
     changeVoters();
--- a/src/ragwortdrift/fleet/fleet_fixture.hpp
+++ b/src/ragwortdrift/fleet/fleet_fixture.hpp
@@ -108,15 +108,18 @@
     return m_Folder / std::to_string(Index);
   }
   void start(std::size_t Index, bool FormCluster) {
+    start(Index, FormCluster, m_Io);
+  }
+  void start(std::size_t Index, bool FormCluster, asio::io_context &Io) {
     m_Nodes[Index] = std::make_unique<CoreNode>(
-        m_Io, settings(Index, FormCluster), makeLineFormat());
+        Io, settings(Index, FormCluster), makeLineFormat());
     cr_assert(isOk(m_Nodes[Index]->start()));
   }
   /// Stops a VM as SIGTERM does.
-  void stop(std::size_t Index) {
+  void stop(std::size_t Index, Duration Limit = FleetSettings().m_StopTime) {
     bool IsReady = false;
     m_Nodes[Index]->beginStop([&] { IsReady = true; });
-    cr_assert(runUntil([&] { return IsReady; }, 3s));
+    cr_assert(runUntil([&] { return IsReady; }, Limit));
     m_Nodes[Index].reset();
   }
   void runFor(Duration Time) {
--- a/src/ragwortdrift/fleet/planned_replacement_test.cpp
+++ b/src/ragwortdrift/fleet/planned_replacement_test.cpp
@@ -118,7 +118,30 @@
                RoutingCommandOutcome::Accepted);
   Fleet.m_Nodes[1].reset();
   Fleet.m_Nodes[2].reset();
-  Fleet.stop(0);
+  Fleet.stop(0, 3s);
+}
+
+// Guards against a core VM that stops while the others stand still, gives up
+// its request to leave and ends as a voter, so that the next loss is fatal.
+Test(planned_replacement, leaves_after_others_stood_still) {
+  asio::io_context OthersIo;
+  TestFleet Fleet(3, 1);
+  Fleet.m_PausableIo = &OthersIo;
+  Fleet.start(0, true);
+  for (std::size_t I = 1; I < 4; ++I)
+    Fleet.start(I, I < 3, OthersIo);
+  cr_assert(Fleet.runUntil([&] { return Fleet.voterCount(1) == 4; }));
+  cr_assert_eq(Fleet.submitUntilDecided(1, TestFleet::config(1)),
+               RoutingCommandOutcome::Accepted);
+  bool IsReady = false;
+  Fleet.m_Nodes[0]->beginStop([&] { IsReady = true; });
+  Fleet.m_PausableIo = nullptr;
+  Fleet.runFor(3s);
+  cr_assert_not(IsReady);
+  Fleet.m_PausableIo = &OthersIo;
+  cr_assert(Fleet.runUntil([&] { return IsReady; }, 3s));
+  cr_assert_eq(Fleet.voterCount(1), 3);
+  Fleet.m_PausableIo = nullptr;
 }
 
 // Guards against a VM that left, returns with its disk and does not vote again.
--- a/src/ragwortdrift/net/peer_client.cpp
+++ b/src/ragwortdrift/net/peer_client.cpp
@@ -104,6 +104,8 @@
     std::shared_ptr<ClientSession> m_Session;
     Duration m_Backoff{0};
     TimePoint m_NextConnectTime;
+    /// The last attempt to connect was refused.
+    bool m_IsRefusing = false;
   };
 
   asio::io_context &m_Io;
@@ -164,6 +166,8 @@
   const Address m_Address;
   TimerService::Subscription m_ConnectTimer;
   bool m_HasNonce = false;
+  /// Nothing listens at the address.
+  bool m_IsRefused = false;
   bool m_Draining = false;
   PeerNonce m_ServerNonce{};
   TimePoint m_LastUsed;
@@ -191,6 +195,8 @@
                          [Self](boost::system::error_code ConnectError) {
                            if (Self->isClosed())
                              return;
+                           Self->m_IsRefused =
+                               ConnectError == asio::error::connection_refused;
                            if (ConnectError)
                              return Self->close(PeerErrorCode::ConnectFailed);
                            Self->startIo();
@@ -383,6 +389,7 @@
         It->second.m_Backoff =
             std::clamp(It->second.m_Backoff * 2, InitialBackoff, MaxBackoff);
         It->second.m_NextConnectTime = m_Timers.now() + It->second.m_Backoff;
+        It->second.m_IsRefusing = m_IsRefused;
       }
     }
   }
@@ -395,8 +402,8 @@
     return;
   }
   for (const CallPtr &Call : PendingCalls)
-    Call->end(
-        PeerError{m_HasNonce ? Reason : PeerErrorCode::ConnectFailed, false});
+    Call->end(PeerError{m_HasNonce ? Reason : PeerErrorCode::ConnectFailed,
+                        false, m_IsRefused});
   for (const auto &[Id, Call] : Calls)
     Call->end(PeerError{Reason, Call->m_HeadersSent});
 }
@@ -448,7 +455,8 @@
   }
   if (!Entry.m_Session) {
     if (m_Timers.now() < Entry.m_NextConnectTime)
-      return postError(Call, {PeerErrorCode::ConnectFailed, false});
+      return postError(
+          Call, {PeerErrorCode::ConnectFailed, false, Entry.m_IsRefusing});
     Entry.m_Session =
         std::make_shared<ClientSession>(shared_from_this(), Remote);
     Entry.m_Session->connect();
--- a/src/ragwortdrift/net/peer_test.cpp
+++ b/src/ragwortdrift/net/peer_test.cpp
@@ -42,9 +42,10 @@
   std::optional<Result<Done, PeerError>> m_Result;
   bool ended() const { return m_Result.has_value(); }
   bool ok() const { return m_Result && isOk(*m_Result); }
-  bool failed(PeerErrorCode Code, bool MaybeSent) const {
+  bool failed(PeerErrorCode Code, bool MaybeSent,
+              bool IsRefused = false) const {
     return m_Result && !isOk(*m_Result) &&
-           errorOf(*m_Result) == PeerError{Code, MaybeSent};
+           errorOf(*m_Result) == PeerError{Code, MaybeSent, IsRefused};
   }
   std::string text() const {
     if (!m_Result)
@@ -446,8 +447,9 @@
             "callback after destruction of the server");
   const PeerCall Second = Fixture.open(Client, FailedOutcome, "/echo", "y");
   cr_assert(Fixture.runUntil([&] { return FailedOutcome.ended(); }));
-  cr_expect(FailedOutcome.failed(PeerErrorCode::ConnectFailed, false), "%s",
-            FailedOutcome.text().c_str());
+  cr_expect(FailedOutcome.failed(PeerErrorCode::ConnectFailed, false,
+                                 /*IsRefused=*/true),
+            "%s", FailedOutcome.text().c_str());
   Fixture.m_Server.emplace(Fixture.m_Io, Fixture.m_Timers, makeKey(7),
                            VmId("vm-s"));
   Fixture.start(Fixture.m_Port);
