Play the outdated domain command again if the leader changed meanwhile

The scenario is played again if the term or the leader changed, at most ten times; with one leader throughout, the same outcome, the same number of tries and the same state are required as before. setDomainOut() takes "unchanged" for accepted only after an unknown outcome and if the state that a majority confirms holds the command. readUntilConfirmed() reads as operators do.

--- a/src/ragwortdrift/fleet/fleet_fixture.hpp
+++ b/src/ragwortdrift/fleet/fleet_fixture.hpp
@@ -176,9 +176,11 @@
     cr_assert_fail("the outcome is still unknown after 100 attempts");
     return {};
   }
-  /// Changes a failure domain as a patient operator does.
+  /// Changes a failure domain as a patient operator does; see
+  /// submitUntilDecided().
   RoutingCommandOutcome setDomainOut(std::size_t Index,
                                      const FailureDomain &Domain, bool Out) {
+    bool MayBeCommitted = false;
     for (int Attempt = 0; Attempt < 100; ++Attempt) {
       std::optional<Result<RoutingCommandOutcome, CoreError>> Reply;
       m_Nodes[Index]->setDomainOut(
@@ -188,7 +190,12 @@
           });
       cr_assert(runUntil([&] { return Reply.has_value(); }, 4s));
       if (isOk(*Reply))
-        return valueOf(*Reply);
+        return MayBeCommitted && isInForce(Index, SetDomainOut{Domain, Out}) &&
+                       valueOf(*Reply) == RoutingCommandOutcome::Unchanged
+                   ? RoutingCommandOutcome::Accepted
+                   : valueOf(*Reply);
+      MayBeCommitted = MayBeCommitted ||
+                       errorOf(*Reply).m_Code == CoreErrorCode::UnknownOutcome;
       runUntil([] { return false; }, 50ms);
     }
     cr_assert_fail("the outcome is still unknown after 100 attempts");
@@ -202,16 +209,26 @@
     cr_assert(runUntil([&] { return Reply.has_value(); }, 4s));
     return std::move(*Reply);
   }
-  /// Returns true if the state that a majority confirms holds a configuration.
-  bool isInForce(std::size_t Index, const RoutingCommand &Command) {
-    const auto *Config = std::get_if<SetConfig>(&Command);
-    for (int Attempt = 0; Config && Attempt < 100; ++Attempt) {
-      const auto State = read(Index);
+  /// Reads until a majority confirms the state, as operators do.
+  RoutingState readUntilConfirmed(std::size_t Index) {
+    for (int Attempt = 0; Attempt < 100; ++Attempt) {
+      auto State = read(Index);
       if (isOk(State))
-        return valueOf(State).m_Config == Config->m_Config;
+        return valueOf(std::move(State));
       runUntil([] { return false; }, 50ms);
     }
-    return false;
+    cr_assert_fail("no state was confirmed in 100 attempts");
+    return {};
+  }
+  /// Returns true if the state that a majority confirms holds what a command
+  /// sets.
+  bool isInForce(std::size_t Index, const RoutingCommand &Command) {
+    const RoutingState State = readUntilConfirmed(Index);
+    if (const auto *Config = std::get_if<SetConfig>(&Command))
+      return State.m_Config == Config->m_Config;
+    const auto *Change = std::get_if<SetDomainOut>(&Command);
+    return Change &&
+           State.m_DomainsOut.contains(Change->m_Domain) == Change->m_Out;
   }
   static RoutingCommand config(std::uint64_t Version,
                                const std::string &Text = {}) {
--- a/src/ragwortdrift/fleet/fleet_test.cpp
+++ b/src/ragwortdrift/fleet/fleet_test.cpp
@@ -65,6 +65,50 @@
     {"operator has given up", false},
 };
 
+/// A command that returns a domain to service, and is outdated when it is
+/// applied first.
+struct DomainCommandRun {
+  int m_Calls = 0;
+  std::optional<Result<RoutingCommandOutcome, CoreError>> m_Reply;
+  /// The leader was replaced meanwhile; its reply is then an error that asks
+  /// operators to send the command again.
+  bool m_LeaderChanged = false;
+};
+
+DomainCommandRun runDomainCommand(TestFleet &Fleet, const FailureDomain &Domain,
+                                  bool IsStillWaiting) {
+  Fleet.setDomainOut(0, Domain, false);
+  cr_assert_eq(Fleet.setDomainOut(0, Domain, true),
+               RoutingCommandOutcome::Accepted);
+  std::optional<std::size_t> Index;
+  cr_assert(Fleet.runUntil(
+      [&] { return (Index = Fleet.leaderIndex()).has_value(); }));
+  CoreNode &Leader = *Fleet.m_Nodes[*Index];
+  const auto Term = [&] {
+    return Fleet.gaugeValue(*Index, "ragwortdrift_log_term");
+  };
+  const double FirstTerm = Term();
+  DomainCommandRun Run;
+  Leader.setDomainOut(
+      Domain, false,
+      [&] {
+        if (++Run.m_Calls > 1)
+          return IsStillWaiting;
+        // These are in the log ahead of the command.
+        for (const bool Out : {false, true})
+          Leader.submit(
+              SetDomainOut{Domain, Out},
+              [](const Result<RoutingCommandOutcome, CoreError> &) {});
+        return true;
+      },
+      [&](const Result<RoutingCommandOutcome, CoreError> &Actual) {
+        Run.m_Reply.emplace(Actual);
+      });
+  cr_assert(Fleet.runUntil([&] { return Run.m_Reply.has_value(); }));
+  Run.m_LeaderChanged = Fleet.leaderIndex() != Index || Term() != FirstTerm;
+  return Run;
+}
+
 /// Starts an entry VM for each core VM, its source being the only core VM that
 /// it knows at first. Each has a leaf list on return.
 std::vector<std::unique_ptr<TestEntry>>
@@ -294,37 +338,20 @@
   TestFleet Fleet(3);
   Fleet.startInitialVoters();
   const FailureDomain Domain{"north"};
-  cr_assert_eq(Fleet.setDomainOut(0, Domain, true),
-               RoutingCommandOutcome::Accepted);
-  CoreNode &Leader = *Fleet.m_Nodes[Fleet.leaderIndex().value()];
-  int Calls = 0;
-  std::optional<Result<RoutingCommandOutcome, CoreError>> Reply;
-  Leader.setDomainOut(
-      Domain, false,
-      [&] {
-        if (++Calls > 1)
-          return Row.m_IsStillWaiting;
-        // These are in the log ahead of the command.
-        for (const bool Out : {false, true})
-          Leader.submit(
-              SetDomainOut{Domain, Out},
-              [](const Result<RoutingCommandOutcome, CoreError> &) {});
-        return true;
-      },
-      [&](const Result<RoutingCommandOutcome, CoreError> &Actual) {
-        Reply.emplace(Actual);
-      });
-  cr_assert(Fleet.runUntil([&] { return Reply.has_value(); }));
-  cr_assert_eq(Calls, 2);
+  DomainCommandRun Run;
+  for (int Attempt = 0; Attempt < 10; ++Attempt)
+    if (Run = runDomainCommand(Fleet, Domain, Row.m_IsStillWaiting);
+        !Run.m_LeaderChanged)
+      break;
+  cr_assert_not(Run.m_LeaderChanged);
+  cr_assert_eq(Run.m_Calls, 2);
   if (Row.m_IsStillWaiting)
-    cr_assert(isOk(*Reply) &&
-              valueOf(*Reply) == RoutingCommandOutcome::Accepted);
+    cr_assert(isOk(*Run.m_Reply) &&
+              valueOf(*Run.m_Reply) == RoutingCommandOutcome::Accepted);
   else
-    cr_assert(!isOk(*Reply) &&
-              errorOf(*Reply).m_Code == CoreErrorCode::Abandoned);
-  const auto State = Fleet.read(1);
-  cr_assert(isOk(State));
-  cr_assert_eq(valueOf(State).m_DomainsOut.contains(Domain),
+    cr_assert(!isOk(*Run.m_Reply) &&
+              errorOf(*Run.m_Reply).m_Code == CoreErrorCode::Abandoned);
+  cr_assert_eq(Fleet.readUntilConfirmed(1).m_DomainsOut.contains(Domain),
                !Row.m_IsStillWaiting, "%s", Row.m_Name);
 }
 
