--- a/src/ragwortdrift/dispatch/active_request_response.cpp
+++ b/src/ragwortdrift/dispatch/active_request_response.cpp
@@ -84,7 +84,9 @@
   Out.set(m_Owner.m_Protocol.m_PartSignatures, Signatures);
   Out.set(m_Owner.m_Protocol.m_MissingParts,
           std::to_string(m_SubRequests.size() - Bodies.size()));
-  Out.body() = mergeTopRecords(Bodies, m_Route.m_MaxRecords);
+  // The length of the merged records is not known without them.
+  if (m_RequestTemplate.method() != http::verb::head)
+    Out.body() = mergeTopRecords(Bodies, m_Route.m_MaxRecords);
   return Out;
 }
 
@@ -98,6 +100,10 @@
   Out.result(LeafResponse->result_int());
   copyFields(*LeafResponse, Out);
   Out.body() = LeafResponse->body();
+  // Without a body, the length is that of the representation.
+  if (const auto Length = LeafResponse->find(http::field::content_length);
+      Length != LeafResponse->end() && Out.body().empty())
+    Out.set(http::field::content_length, Length->value());
   return Out;
 }
 
--- a/src/ragwortdrift/net/http_client.cpp
+++ b/src/ragwortdrift/net/http_client.cpp
@@ -130,7 +130,7 @@
   setContentLength(Request);
   m_Request = serialize(Request);
   m_BytesWritten = 0;
-  m_Parser->begin(ResponseLimits);
+  m_Parser->begin(ResponseLimits, Request.method() == http::verb::head);
   m_HasTimeout = Timeout.has_value();
   if (Timeout)
     startTimer(*Timeout);
--- a/src/ragwortdrift/net/http_server.cpp
+++ b/src/ragwortdrift/net/http_server.cpp
@@ -67,6 +67,24 @@
       R"({"error":"overloaded","not_run":true,"detail":"too many bytes of requests"})");
 }
 
+/// Sets the length of a response, and drops the body of one that ends with its
+/// header (RFC 9110, sections 6.4.1 and 8.6).
+void preparePayload(HttpResponse &Response, bool AnswersHead) {
+  const bool IsBodiless = Response.result_int() / 100 == 1 ||
+                          Response.result() == http::status::no_content;
+  if (!AnswersHead && !IsBodiless &&
+      Response.result() != http::status::not_modified) {
+    Response.prepare_payload();
+    return;
+  }
+  // HEAD and 304 have the length that the body would have, if it is known.
+  if (AnswersHead && !Response.body().empty())
+    Response.content_length(Response.body().size());
+  if (IsBodiless)
+    Response.erase(http::field::content_length);
+  Response.body().clear();
+}
+
 /// Returns the refusal for a request that cannot be read, or nothing if the
 /// caller is gone or too slow.
 std::optional<HttpResponse> readErrorResponse(beast::error_code Error) {
@@ -74,6 +92,8 @@
     return headerTooLargeResponse();
   if (Error == http::error::body_limit || Error == http::error::buffer_overflow)
     return tooLargeResponse();
+  if (Error == boost::system::errc::not_supported)
+    return unknownCodingResponse();
   const bool IsMalformed =
       Error.category() == make_error_code(http::error::bad_method).category() &&
       Error != http::error::end_of_stream &&
@@ -92,8 +112,6 @@
         m_ReadTimer(m_Stream.get_executor()) {}
 
   void start() { awaitRequest(); }
-  if (Error == boost::system::errc::not_supported)
-    return unknownCodingResponse();
 
   void close() {
     beast::error_code Ignored;
@@ -354,23 +372,24 @@
     const bool HasNext = m_NextRequest || m_PendingRefusal;
     m_KeepAlive = m_Current->request().keep_alive() &&
                   (HasNext || (!Close && !m_ReadEnded));
+    const bool AnswersHead = m_Current->request().method() == http::verb::head;
     Response.version(m_Current->request().version());
     Response.keep_alive(m_KeepAlive);
     endExchange();
-    send(std::move(Response));
+    send(std::move(Response), AnswersHead);
   }
 
   void refuse(HttpResponse Response) {
     ++m_Server.m_Counts.m_RefusedMessages;
     m_KeepAlive = false;
     Response.keep_alive(false);
-    send(std::move(Response));
+    send(std::move(Response), m_Reader.isHead());
   }
 
-  void send(HttpResponse Response) {
+  void send(HttpResponse Response, bool AnswersHead) {
     m_Writing = true;
     m_Response = std::move(Response);
-    m_Response.prepare_payload();
+    preparePayload(m_Response, AnswersHead);
     m_Stream.expires_after(m_Server.m_Limits.m_WriteTimeout);
     http::async_write(m_Stream, m_Response,
                       guarded([this](beast::error_code Error, std::size_t) {
--- a/src/ragwortdrift/net/message_parser.hpp
+++ b/src/ragwortdrift/net/message_parser.hpp
@@ -65,9 +65,11 @@
   using ErrorCode = boost::beast::error_code;
 
   /// Begins the next message. Bytes that have arrived behind the previous one
-  /// are kept.
-  void begin(const MessageLimits &Limits) {
+  /// are kept. IsBodiless is true for the response to HEAD, which ends with its
+  /// header whatever length that states.
+  void begin(const MessageLimits &Limits, bool IsBodiless = false) {
     m_Limits = Limits;
+    m_IsBodiless = IsBodiless;
     m_BytesParsed = 0;
     m_ReceiveBytes = MinReceiveBytes;
     // A header, a chunk header or a trailer is buffered until it is complete.
@@ -162,6 +164,7 @@
     m_Parser.emplace();
     m_Parser->header_limit(m_Limits.m_MaxHeaderBytes);
     m_Parser->body_limit(m_Limits.m_MaxBodyBytes);
+    m_Parser->skip(m_IsBodiless);
   }
 
   /// Returns true if most of the message is neither header nor body.
@@ -190,6 +193,7 @@
       return m_Parser->is_done() && m_Parser->get().result_int() / 100 == 1;
   }
 
+  bool m_IsBodiless = false;
   std::uint64_t m_BytesParsed = 0;
   std::size_t m_ReceiveBytes = MinReceiveBytes;
 };
--- a/src/ragwortdrift/net/request_reader.hpp
+++ b/src/ragwortdrift/net/request_reader.hpp
@@ -15,6 +15,11 @@
     MessageParser<true>::begin(Limits);
   }
 
+  /// Returns true if the method of the request has arrived and is HEAD.
+  bool isHead() const {
+    return m_Parser->get().method() == boost::beast::http::verb::head;
+  }
+
   /// Returns true if the whole header has arrived, or more bytes than a header
   /// may have.
   bool hasHeader() {
