--- a/include/ragwortdrift/consensus/bootstrap.hpp
+++ b/include/ragwortdrift/consensus/bootstrap.hpp
@@ -8,12 +8,6 @@
 
 namespace ragwortdrift {
 
-/// A voter of the initial membership, as configured in the settings.
-struct InitialVoter {
-  VmId m_Vm;
-  std::string m_Address;
-};
-
 /// Collects the store ids of the initial voters, so that the initial membership
 /// identifies disks and not only VMs. The coordinator is the initial voter with
 /// the smallest VmId. Every initial voter has to confirm twice that it holds no
--- a/include/ragwortdrift/consensus/log_format.hpp
+++ b/include/ragwortdrift/consensus/log_format.hpp
@@ -16,6 +16,9 @@
 ///
 /// * `store`: magic, format version, store id, CRC. Written last when a folder
 ///   is formatted.
+/// * `initial-voters`: magic, format version, CRC, the voters of the initial
+///   membership. Present if the settings named them at a start with an empty
+///   log.
 /// * `log-<16 hexadecimal digits>`: a segment. A header (magic, version, store
 ///   id, segment number, CRC) and then frames. A frame holds one batch that was
 ///   written and synced together: magic, payload length, CRC, payload. Its CRC
@@ -30,6 +33,7 @@
 constexpr std::size_t FrameHeaderBytes = 12;
 
 inline const std::string StoreName = "store";
+inline const std::string InitialVotersName = "initial-voters";
 inline const std::string SnapshotName = "snapshot";
 inline const std::string TemporarySuffix = ".tmp";
 
@@ -71,6 +75,10 @@
 std::string encodeStoreFile(StoreId Store);
 Result<StoreId, StoreError> decodeStoreFile(std::string_view Bytes);
 
+std::string encodeInitialVoters(const std::vector<InitialVoter> &Voters);
+Result<std::vector<InitialVoter>, StoreError>
+decodeInitialVoters(std::string_view Bytes);
+
 std::string encodeSegmentHeader(StoreId Store, std::uint64_t Segment);
 std::string encodeFrame(const FramePosition &Position, const Batch &Content);
 /// Decodes a segment. An invalid frame is reported as damage if a valid frame
--- a/include/ragwortdrift/consensus/log_store.hpp
+++ b/include/ragwortdrift/consensus/log_store.hpp
@@ -15,13 +15,19 @@
 template <FileOps Files> class BasicLogStore {
 public:
   /// NewStoreId becomes the store id if the folder has to be formatted.
-  BasicLogStore(Files Folder, StoreId NewStoreId)
-      : m_Files(std::move(Folder)), m_StoreId(NewStoreId) {}
+  /// InitialVoters are those of the settings; empty if the settings do not ask
+  /// this VM to take part in forming a cluster.
+  BasicLogStore(Files Folder, StoreId NewStoreId,
+                std::vector<InitialVoter> InitialVoters = {})
+      : m_Files(std::move(Folder)), m_StoreId(NewStoreId),
+        m_InitialVoters(std::move(InitialVoters)) {}
 
   /// Locks the folder, formats it if it is empty and recovers its contents. A
   /// torn tail is truncated. Damage anywhere else is reported with file and
   /// offset. Damage within the last batch cannot be distinguished from a torn
-  /// write.
+  /// write. Initial voters are kept in the folder before it counts as
+  /// formatted, so that a VM that is restarted before the cluster has formed
+  /// knows them although its settings do not name them any more.
   Result<RecoveredLog, StoreError> open();
 
   /// Writes one batch and syncs it. Entries replace existing entries from their
@@ -37,6 +43,10 @@
                                         std::span<const LogEntry> Suffix);
 
   StoreId storeId() const { return m_StoreId; }
+  /// Initial voters of the settings, else those that the folder keeps.
+  const std::vector<InitialVoter> &initialVoters() const {
+    return m_InitialVoters;
+  }
   /// Number of fsync calls since the folder was opened, for files and the
   /// folder.
   std::uint64_t syncCount() const { return m_SyncCount; }
@@ -46,6 +56,9 @@
   using Status = Result<Done, StoreError>;
 
   Status format(const std::vector<std::string> &Names);
+  /// Reads the initial voters if the folder keeps them and the settings do not
+  /// name any; keeps those of the settings otherwise.
+  Status updateInitialVoters(const std::vector<std::string> &Names);
   Result<RecoveredLog, StoreError>
   recover(const std::vector<std::string> &Names);
   Result<std::uint64_t, StoreError> readSnapshot(bool Exists,
@@ -68,6 +81,7 @@
 
   Files m_Files;
   StoreId m_StoreId;
+  std::vector<InitialVoter> m_InitialVoters;
   std::vector<std::uint64_t> m_Segments;
   std::uint64_t m_NextOrdinal = 0;
   std::uint64_t m_SyncCount = 0;
--- a/include/ragwortdrift/consensus/log_store_impl.hpp
+++ b/include/ragwortdrift/consensus/log_store_impl.hpp
@@ -23,11 +23,36 @@
   auto HasFile = [&](const std::string &Name) {
     return std::count(valueOf(Names).begin(), valueOf(Names).end(), Name) != 0;
   };
-  if (HasFile(log_format::StoreName))
-    return recover(valueOf(Names));
-  if (auto Outcome = format(valueOf(Names)); !isOk(Outcome))
-    return errorOf(Outcome);
-  return RecoveredLog{};
+  if (!HasFile(log_format::StoreName)) {
+    if (auto Outcome = format(valueOf(Names)); !isOk(Outcome))
+      return errorOf(Outcome);
+    return RecoveredLog{};
+  }
+  auto Log = recover(valueOf(Names));
+  const bool IsEmpty =
+      isOk(Log) && valueOf(Log).m_Entries.empty() && !valueOf(Log).m_Snapshot;
+  if (IsEmpty)
+    if (auto R = updateInitialVoters(valueOf(Names)); !isOk(R))
+      return errorOf(R);
+  return Log;
+}
+
+template <FileOps Files>
+Result<Done, StoreError> BasicLogStore<Files>::updateInitialVoters(
+    const std::vector<std::string> &Names) {
+  const std::string &Name = log_format::InitialVotersName;
+  if (!m_InitialVoters.empty())
+    return replaceFile(Name, log_format::encodeInitialVoters(m_InitialVoters));
+  if (std::ranges::find(Names, Name) == Names.end())
+    return Done{};
+  auto Bytes = readFile(Name);
+  if (!isOk(Bytes))
+    return errorOf(Bytes);
+  auto Voters = log_format::decodeInitialVoters(valueOf(Bytes));
+  if (!isOk(Voters))
+    return fail(errorOf(Voters));
+  m_InitialVoters = std::move(valueOf(Voters));
+  return Done{};
 }
 
 template <FileOps Files>
@@ -37,7 +62,9 @@
   // so that an existing log is never treated as empty.
   std::string First = log_format::segmentName(1);
   for (const std::string &Name : Names) {
-    if (Name == log_format::StoreName + log_format::TemporarySuffix)
+    if (Name == log_format::StoreName + log_format::TemporarySuffix ||
+        Name == log_format::InitialVotersName + log_format::TemporarySuffix ||
+        Name == log_format::InitialVotersName)
       continue;
     auto Bytes = readFile(Name);
     if (!isOk(Bytes))
@@ -45,6 +72,8 @@
     if (Name != First || valueOf(Bytes).size() > log_format::SegmentHeaderBytes)
       return fail({StoreErrorCode::Damaged, log_format::StoreName, 0, ENOENT});
   }
+  if (auto R = updateInitialVoters(Names); !isOk(R))
+    return R;
   if (auto Outcome = m_Files.create(First); !isOk(Outcome))
     return ioFailure(errorOf(Outcome), First);
   if (auto R = appendAll(First, log_format::encodeSegmentHeader(m_StoreId, 1));
--- a/include/ragwortdrift/consensus/raft_types.hpp
+++ b/include/ragwortdrift/consensus/raft_types.hpp
@@ -39,6 +39,14 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(m_Key, m_Address); }
 };
 
+/// A voter of the initial membership, as configured in the settings.
+struct InitialVoter {
+  VmId m_Vm;
+  std::string m_Address;
+  friend bool operator==(const InitialVoter &, const InitialVoter &) = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(m_Vm, m_Address); }
+};
+
 /// Voters form the majority for elections and commits; learners only receive
 /// the log.
 struct Membership {
--- a/include/ragwortdrift/consensus/replicated_log.hpp
+++ b/include/ragwortdrift/consensus/replicated_log.hpp
@@ -13,8 +13,9 @@
 
 struct ReplicatedLogOptions {
   VmId m_Self;
-  /// The voters that form the cluster; used only while the data folder is
-  /// empty. Empty for a VM that joins through addVoter().
+  /// The voters that form the cluster; used only while the log is empty, and
+  /// kept in the data folder. Empty for a VM that joins through addVoter(), and
+  /// for one that was told them at an earlier start.
   std::vector<InitialVoter> m_InitialVoters;
   /// Seed of election timeouts and nonces.
   std::uint64_t m_Seed = 0;
@@ -84,6 +85,9 @@
   /// False while a change of the members is in the log but not committed.
   bool m_IsMembershipCommitted = false;
   StoreId m_StoreId;
+  /// The VM takes part in forming the cluster, by its settings or by those of
+  /// its first start.
+  bool m_IsInitialVoter = false;
   std::uint64_t m_SyncCount = 0;
   std::optional<StoreError> m_StoreError;
 };
--- a/include/ragwortdrift/consensus/replicated_log_impl.hpp
+++ b/include/ragwortdrift/consensus/replicated_log_impl.hpp
@@ -23,7 +23,8 @@
     : m_Options(std::move(Options)), m_Timers(Timers),
       m_Callbacks(std::move(Callbacks)), m_Engine(m_Options.m_Seed),
       m_Store(std::move(Folder),
-              detail::chooseNewStoreId(m_Options.m_NewStoreId)) {}
+              detail::chooseNewStoreId(m_Options.m_NewStoreId),
+              m_Options.m_InitialVoters) {}
 
 template <FileOps Files>
 Result<Done, StoreError> BasicReplicatedLog<Files>::open() {
@@ -41,7 +42,7 @@
     m_SnapshotSize = LatestSnapshot->m_Bytes.size();
     m_Callbacks.m_Restore(LatestSnapshot->m_Bytes);
   }
-  m_Bootstrap.emplace(m_Self, m_Options.m_InitialVoters, m_Engine);
+  m_Bootstrap.emplace(m_Self, m_Store.initialVoters(), m_Engine);
   m_TickTimer = m_Timers.every(m_Options.m_TickInterval, [this] { onTick(); });
   m_QueryTimer =
       m_Timers.every(m_Options.m_QueryPeriod, [this] { onQueryPeriod(); });
@@ -106,6 +107,9 @@
 ReplicatedLogStatus BasicReplicatedLog<Files>::status() const {
   ReplicatedLogStatus Status;
   Status.m_StoreId = m_Self.m_Store;
+  Status.m_IsInitialVoter =
+      std::ranges::find(m_Store.initialVoters(), m_Self.m_Vm,
+                        &InitialVoter::m_Vm) != m_Store.initialVoters().end();
   Status.m_SyncCount = m_Store.syncCount();
   Status.m_StoreError = m_Store.failure();
   if (!m_Core)
--- a/include/ragwortdrift/fleet/core_node.hpp
+++ b/include/ragwortdrift/fleet/core_node.hpp
@@ -81,8 +81,8 @@
 
   // Replicated log.
   Result<Done, StoreError> openLog();
-  /// True if this VM is one of the initial voters of a new cluster.
-  bool isInitialVoter() const;
+  /// True if the settings ask this VM to form a new cluster with others.
+  bool isAskedToForm() const;
   void reopenFailedStore();
   void onEntryApplied(LogIndex Index, const std::string &Payload);
   void onSnapshotRestored(const std::string &Bytes);
--- a/src/ragwortdrift/consensus/consensus_fuzz_test.cpp
+++ b/src/ragwortdrift/consensus/consensus_fuzz_test.cpp
@@ -63,6 +63,15 @@
     runSeed(Seed, 20s, FuzzProfile::Replacement);
 }
 
+// Guards against a cluster that never forms, or forms twice, since VMs end
+// while it forms and their settings do not name the initial voters again
+// (review/14).
+TABLE_TEST(consensus_fuzz, cluster_forms_once_under_kills, SeedBlocks) {
+  for (std::uint64_t Seed = Row; Seed < Row + BlockSize; ++Seed)
+    for (const Duration FaultDuration : {100ms, 500ms, 2000ms})
+      runSeed(Seed, FaultDuration, FuzzProfile::FirstStart);
+}
+
 TABLE_TEST(consensus_fuzz, regression_seeds_pass, RegressionSeeds) {
   runSeed(Row, 40s);
 }
--- a/src/ragwortdrift/consensus/log_format.cpp
+++ b/src/ragwortdrift/consensus/log_format.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::string_view StoreMagic = "RDSTORE\n";
+constexpr std::string_view InitialVotersMagic = "RDVOTER\n";
 constexpr std::string_view SegmentMagic = "RDLOGSG\n";
 constexpr std::string_view SnapshotMagic = "RDSNAPS\n";
 constexpr std::string_view FrameMagic = "RDfr";
@@ -137,6 +138,29 @@
   return StoreId(get<std::uint64_t>(Bytes, MagicBytes + 4));
 }
 
+std::string encodeInitialVoters(const std::vector<InitialVoter> &Voters) {
+  const std::string Payload = encode(Voters);
+  std::string Output(InitialVotersMagic);
+  put(Output, Version);
+  put(Output, crc32(Payload));
+  return Output + Payload;
+}
+
+Result<std::vector<InitialVoter>, StoreError>
+decodeInitialVoters(std::string_view Bytes) {
+  constexpr std::size_t Header = 16;
+  if (auto Error =
+          checkHeader(Bytes, InitialVotersMagic, Header, InitialVotersName))
+    return *Error;
+  const std::string_view Payload = Bytes.substr(Header);
+  if (get<std::uint32_t>(Bytes, Header - 4) != crc32(Payload))
+    return damaged(InitialVotersName, Header);
+  auto Decoded = decode<std::vector<InitialVoter>>(Payload);
+  if (!isOk(Decoded))
+    return damaged(InitialVotersName, Header + errorOf(Decoded).m_Offset);
+  return std::move(valueOf(Decoded));
+}
+
 std::string encodeSegmentHeader(StoreId Store, std::uint64_t Segment) {
   std::string Output(SegmentMagic);
   put(Output, Version);
--- a/src/ragwortdrift/consensus/log_store_test.cpp
+++ b/src/ragwortdrift/consensus/log_store_test.cpp
@@ -44,6 +44,33 @@
 
 const std::uint8_t FlippedBits[] = {0x01, 0x10, 0x80, 0xff};
 
+const std::vector<InitialVoter> ThreeVoters{
+    {VmId("a"), "a:1"}, {VmId("b"), "b:1"}, {VmId("c"), "c:1"}};
+
+/// Opens a folder with the given voters, and returns those that it then knows;
+/// nothing if it cannot be opened or the machine crashes.
+std::optional<std::vector<InitialVoter>>
+votersAfterOpen(const std::shared_ptr<SimDisk> &Disk,
+                std::vector<InitialVoter> Voters = {}) {
+  try {
+    SimStore Store(SimFiles(Disk), StoreId(78), std::move(Voters));
+    const bool IsOpen = isOk(Store.open());
+    Disk->onProcessExit();
+    return IsOpen ? std::optional(Store.initialVoters()) : std::nullopt;
+  } catch (const SimCrash &) {
+    return std::nullopt;
+  }
+}
+
+struct FirstStartCase {
+  const char *m_Name;
+  bool m_LosesPower;
+};
+const FirstStartCase FirstStartCases[] = {
+    {"process ends", false},
+    {"power is lost", true},
+};
+
 } // namespace
 
 // Guards against starting with a log in which acknowledged entries are lost or
@@ -183,3 +210,51 @@
   cr_assert_not(std::filesystem::exists(Folder / "data" / FirstSegment));
   std::filesystem::remove_all(Folder);
 }
+
+// Guards against a VM that counts as started but does not know the initial
+// voters, and so never forms its cluster: the first start is cut short at each
+// operation, and the next one names none (review/14).
+TABLE_TEST(log_store, keeps_initial_voters_of_first_start, FirstStartCases) {
+  bool IsComplete = false;
+  for (std::size_t Operation = 1; !IsComplete; ++Operation) {
+    cr_assert_lt(Operation, 100U);
+    for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+      auto Disk = std::make_shared<SimDisk>(Seed);
+      Disk->crashAfterOperations(Operation);
+      IsComplete = votersAfterOpen(Disk, ThreeVoters).has_value();
+      Disk->cancelCrash();
+      Row.m_LosesPower ? Disk->onPowerLoss() : Disk->onProcessExit();
+      const bool IsFormatted = Disk->contents().contains(log_format::StoreName);
+      const auto Voters = votersAfterOpen(Disk);
+      cr_assert(Voters.has_value(), "%s, operation %zu", Row.m_Name, Operation);
+      if (IsFormatted || IsComplete)
+        cr_assert(*Voters == ThreeVoters, "%s, operation %zu", Row.m_Name,
+                  Operation);
+      cr_assert(Voters->empty() || *Voters == ThreeVoters);
+    }
+  }
+}
+
+// Guards against settings that name other voters before the cluster has formed
+// and have no effect.
+Test(log_store, settings_replace_kept_initial_voters) {
+  auto Disk = std::make_shared<SimDisk>(1);
+  cr_assert(votersAfterOpen(Disk, ThreeVoters) == ThreeVoters);
+  const std::vector<InitialVoter> One{{VmId("d"), "d:1"}};
+  cr_assert(votersAfterOpen(Disk, One) == One);
+  cr_assert(votersAfterOpen(Disk) == One);
+}
+
+// Guards against initial voters that are read from a damaged file.
+TABLE_TEST(log_store, rejects_damaged_initial_voters, FlippedBits) {
+  auto Disk = std::make_shared<SimDisk>(1);
+  cr_assert(votersAfterOpen(Disk, ThreeVoters).has_value());
+  std::string &Bytes = Disk->bytes(log_format::InitialVotersName);
+  for (char &Byte : Bytes) {
+    Byte ^= static_cast<char>(Row);
+    cr_assert_not(votersAfterOpen(Disk).has_value());
+    Byte ^= static_cast<char>(Row);
+  }
+  Bytes.resize(Bytes.size() / 2);
+  cr_assert_not(votersAfterOpen(Disk).has_value());
+}
--- a/src/ragwortdrift/fleet/core_membership.cpp
+++ b/src/ragwortdrift/fleet/core_membership.cpp
@@ -91,7 +91,7 @@
   if (Status.m_Leader)
     m_LeaderSeenAt = m_Timers.now();
   const bool IsVoter = findVoter(Status, VmId{m_Address}) != nullptr;
-  const bool IsForming = isInitialVoter() && Status.m_LastIndex == 0;
+  const bool IsForming = Status.m_IsInitialVoter && Status.m_LastIndex == 0;
   if ((!IsVoter && !IsForming) ||
       m_Timers.now() - m_LeaderSeenAt > NoLeaderTimeout)
     sendJoinRequests();
--- a/src/ragwortdrift/fleet/core_node.cpp
+++ b/src/ragwortdrift/fleet/core_node.cpp
@@ -106,7 +106,7 @@
       m_Timers.every(MemoryLogInterval, [this] { logMemory(); }));
   m_ListTimer = m_Timers.after(Duration{0}, [this] { updateLeafList(); });
   // A VM that stopped may have been removed from the voters, or be about to.
-  if (!isInitialVoter())
+  if (!m_Log->status().m_IsInitialVoter)
     sendJoinRequests();
   return Done{};
 }
@@ -114,7 +114,7 @@
 Result<Done, StoreError> CoreNode::openLog() {
   ReplicatedLogOptions Options;
   Options.m_Self = VmId{m_Address};
-  if (isInitialVoter())
+  if (isAskedToForm())
     for (const Endpoint &Core : m_Settings.m_Cores)
       Options.m_InitialVoters.push_back(
           {VmId{formatEndpoint(Core)}, formatEndpoint(Core)});
@@ -153,11 +153,12 @@
     logEvent(LogSeverity::Info, "store.opened",
              {{"store", m_Log->status().m_StoreId},
               {"revision", m_State.m_Revision},
+              {"initial_voter", m_Log->status().m_IsInitialVoter},
               {"last_index", m_Log->status().m_LastIndex}});
   return OpenResult;
 }
 
-bool CoreNode::isInitialVoter() const {
+bool CoreNode::isAskedToForm() const {
   return m_Settings.m_FormCluster &&
          std::find(m_Settings.m_Cores.begin(), m_Settings.m_Cores.end(),
                    m_Settings.m_Peers) != m_Settings.m_Cores.end();
--- a/src/ragwortdrift/testing/consensus_fuzz.hpp
+++ b/src/ragwortdrift/testing/consensus_fuzz.hpp
@@ -9,13 +9,15 @@
 /// changes, with links that fail in one direction and payloads that fill a
 /// message, so that logs diverge over many terms. Replacement replaces voters
 /// as planned: one is added, another is removed and stopped, and a disk is lost
-/// at once.
-enum class FuzzProfile { Mixed, Churn, Replacement };
+/// at once. FirstStart only ends VMs while the cluster forms; the settings name
+/// the initial voters at the first start of each.
+enum class FuzzProfile { Mixed, Churn, Replacement, FirstStart };
 template <> struct EnumNames<FuzzProfile> {
   static constexpr std::array Entries{
       EnumName<FuzzProfile>{FuzzProfile::Mixed, "mixed"},
       EnumName<FuzzProfile>{FuzzProfile::Churn, "churn"},
-      EnumName<FuzzProfile>{FuzzProfile::Replacement, "replacement"}};
+      EnumName<FuzzProfile>{FuzzProfile::Replacement, "replacement"},
+      EnumName<FuzzProfile>{FuzzProfile::FirstStart, "first-start"}};
 };
 
 /// One run of the replicated log under random faults, in virtual time. Throws
@@ -25,7 +27,8 @@
   ConsensusFuzz(std::uint64_t Seed, bool Trace,
                 FuzzProfile Profile = FuzzProfile::Mixed)
       : m_Sim(Seed, votersFor(Seed, Profile),
-              /*Spares=*/Profile == FuzzProfile::Churn ? 0 : 2),
+              /*Spares=*/Profile == FuzzProfile::Churn ? 0 : 2,
+              /*NamesVotersOnce=*/Profile == FuzzProfile::FirstStart),
         m_Profile(Profile), m_ImmediateRestarts(Seed % 2 == 0) {
     m_Sim.m_Trace = Trace;
   }
@@ -47,6 +50,9 @@
       case FuzzProfile::Replacement:
         injectReplacement();
         break;
+      case FuzzProfile::FirstStart:
+        injectFirstStartFault();
+        break;
       }
     }
     stopFaults();
@@ -65,6 +71,22 @@
     return Profile == FuzzProfile::Mixed ? 1 + Seed % 5 : 3 + Seed % 3;
   }
 
+  void injectFirstStartFault() {
+    Node &N = m_Sim.randomNode();
+    const std::uint64_t Kind = m_Sim.draw(100);
+    if (Kind < 15)
+      m_Sim.stop(N, m_Sim.chance(50));
+    else if (Kind < 18)
+      for (auto &[Vm, Item] : m_Sim.nodes())
+        m_Sim.stop(Item, m_Sim.chance(50));
+    else if (Kind < 60)
+      m_Sim.start(N);
+    else if (Kind < 65)
+      changeNetworkQuality();
+    else if (Kind < 80)
+      proposeBatch(N);
+  }
+
   void injectChurnFault() {
     Node &N = m_Sim.randomNode();
     Node *Leader = m_Sim.leader();
--- a/src/ragwortdrift/testing/consensus_sim.hpp
+++ b/src/ragwortdrift/testing/consensus_sim.hpp
@@ -104,14 +104,19 @@
     std::pair<std::uint64_t, std::uint64_t> m_State;
     LogIndex m_CheckedCommit = 0;
     bool m_Opened = false;
+    /// The VM has opened its folder at an earlier start.
+    bool m_WasOpened = false;
     bool m_DiskLost = false;
     /// Last possible memberships as seen by this VM, kept while it is down.
     std::vector<Membership> m_LastMemberships;
     StoreId m_Store;
   };
 
-  ConsensusSim(std::uint64_t Seed, std::size_t Voters, std::size_t Spares)
-      : m_Engine(Seed) {
+  /// NamesVotersOnce is true if the settings name the initial voters only until
+  /// a VM has opened its folder once.
+  ConsensusSim(std::uint64_t Seed, std::size_t Voters, std::size_t Spares,
+               bool NamesVotersOnce = false)
+      : m_Engine(Seed), m_NamesVotersOnce(NamesVotersOnce) {
     for (std::size_t I = 0; I < Voters + Spares; ++I) {
       Node New;
       New.m_Vm = VmId("vm" + std::to_string(I));
@@ -148,8 +153,8 @@
     N.m_CheckedCommit = 0;
     ReplicatedLogOptions Options;
     Options.m_Self = N.m_Vm;
-    Options.m_InitialVoters =
-        isInitialVoter(N.m_Vm) ? m_InitialVoters : std::vector<InitialVoter>{};
+    if (isInitialVoter(N.m_Vm) && !(m_NamesVotersOnce && N.m_WasOpened))
+      Options.m_InitialVoters = m_InitialVoters;
     Options.m_Seed = m_Engine();
     Options.m_NewStoreId = StoreId(m_Engine() | 1);
     Options.m_SnapshotEntries = 20;
@@ -159,13 +164,14 @@
     N.m_Log = std::make_unique<Log>(Options, SimFiles(N.m_Disk), *N.m_Timers,
                                     callbacks(N));
     if (m_OpenCrashPercent > 0 && chance(m_OpenCrashPercent))
-      N.m_Disk->crashAfterOperations(1 + draw(8));
+      N.m_Disk->crashAfterOperations(1 + draw(14));
     runGuarded(N, [&] {
       auto Outcome = N.m_Log->open();
       LogOracle::require(isOk(Outcome) || errorOf(Outcome).m_Code ==
                                               StoreErrorCode::DiskFull,
                          "undamaged data folder could not be opened");
       N.m_Opened = isOk(Outcome);
+      N.m_WasOpened = N.m_WasOpened || N.m_Opened;
       N.m_Store = N.m_Log->status().m_StoreId;
       if (!isOk(Outcome))
         stop(N, /*PowerLost=*/false);
@@ -436,6 +442,7 @@
   }
 
   std::mt19937_64 m_Engine;
+  bool m_NamesVotersOnce;
   TimePoint m_Now;
   std::vector<InitialVoter> m_InitialVoters;
   std::map<VmId, Node> m_Nodes;
