--- a/include/ragwortdrift/fleet/leaf_list_reader.hpp
+++ b/include/ragwortdrift/fleet/leaf_list_reader.hpp
@@ -7,6 +7,17 @@
 
 namespace ragwortdrift {
 
+/// The id of an entry that cannot be read, as far as it can be told.
+struct PartialLeafId {
+  std::string m_Beginning;
+  bool m_IsWhole = false;
+
+  bool mayBe(const LeafId &Id) const {
+    return m_IsWhole ? Id.m_Value == m_Beginning
+                     : Id.m_Value.starts_with(m_Beginning);
+  }
+};
+
 /// One page of the leaf list.
 struct LeafListPage {
   LeafList m_Leafs;
@@ -14,6 +25,10 @@
   std::string m_NextToken;
   /// Number of entries skipped because they do not describe a usable leaf.
   std::size_t m_Skipped = 0;
+  /// Number of skipped entries that cannot even be parsed, and the ids of leafs
+  /// that they may describe.
+  std::size_t m_Unreadable = 0;
+  std::vector<PartialLeafId> m_UnreadableIds;
 };
 
 enum class ListErrorCode { Unreachable, Refused, BadPage };
@@ -51,9 +66,12 @@
 
   /// Reads the list, or does nothing if a read is in progress. A page that
   /// fails makes the whole read fail, since leafs missing from a partial list
-  /// would count as gone.
+  /// would count as gone. So does a list of which no entry can be read.
   void read(Callback OnRead);
   bool isReading() const { return m_Callback != nullptr; }
+  /// Adds the leafs of an earlier list that are missing from the one that was
+  /// read last although an entry that could not be read may describe them.
+  void keepUnreadable(const LeafList &Earlier, LeafList &List) const;
   std::uint64_t callCount() const { return m_CallCount; }
 
 private:
@@ -72,6 +90,8 @@
   std::size_t m_PageCount = 0;
   std::size_t m_Bytes = 0;
   std::size_t m_Skipped = 0;
+  std::size_t m_Unreadable = 0;
+  std::vector<PartialLeafId> m_UnreadableIds;
   std::uint64_t m_CallCount = 0;
   Callback m_Callback;
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
--- a/src/ragwortdrift/fleet/core_leaf_list.cpp
+++ b/src/ragwortdrift/fleet/core_leaf_list.cpp
@@ -59,6 +59,7 @@
                      Term](Result<LeafList, ListError> ReadResult) {
     if (isOk(ReadResult)) {
       m_ListReadAt = m_Timers.now();
+      m_ListReader.keepUnreadable(m_Leafs, valueOf(ReadResult));
       if (m_ListVersion.m_Term != Term || valueOf(ReadResult) != m_Leafs)
         setList(valueOf(std::move(ReadResult)),
                 m_ListVersion.m_Term == Term
--- a/src/ragwortdrift/fleet/entry_control.cpp
+++ b/src/ragwortdrift/fleet/entry_control.cpp
@@ -438,6 +438,7 @@
     if (!isOk(ReadResult))
       return;
     m_HasList = true;
+    m_ListReader.keepUnreadable(m_Leafs, valueOf(ReadResult));
     logEvent(LogSeverity::Info, "leaf_list.read_here",
              {{"leafs", valueOf(ReadResult).size()}});
     m_Updates.m_Leafs(valueOf(std::move(ReadResult)));
--- a/src/ragwortdrift/fleet/leaf_list_reader.cpp
+++ b/src/ragwortdrift/fleet/leaf_list_reader.cpp
@@ -3,6 +3,10 @@
 #include "ragwortdrift/base/log.hpp"
 #include "ragwortdrift/config/settings.hpp"
 
+#include <algorithm>
+#include <iterator>
+#include <set>
+
 namespace ragwortdrift {
 
 namespace http = boost::beast::http;
@@ -20,6 +24,8 @@
 constexpr std::size_t MaxPages = 10'000;
 constexpr std::size_t MaxLeafs = 200'000;
 constexpr std::size_t MaxBytes = std::size_t{64} * 1024 * 1024;
+/// Ids of entries that cannot be read. A list with more is not believed.
+constexpr std::size_t MaxUnreadableIds = 1000;
 
 } // namespace
 
@@ -41,6 +47,8 @@
   m_PageCount = 0;
   m_Bytes = 0;
   m_Skipped = 0;
+  m_Unreadable = 0;
+  m_UnreadableIds.clear();
   requestPage({});
 }
 
@@ -96,13 +104,22 @@
     else
       ++m_Skipped;
   m_Skipped += Page.m_Skipped;
+  m_Unreadable += Page.m_Unreadable;
+  std::ranges::move(Page.m_UnreadableIds, std::back_inserter(m_UnreadableIds));
   m_Bytes += Response.body().size();
   if (m_Bytes > MaxBytes || m_Leafs.size() > MaxLeafs)
     return finishRead(ListError{ListErrorCode::BadPage, "list too large"});
+  if (m_UnreadableIds.size() > MaxUnreadableIds)
+    return finishRead(ListError{ListErrorCode::BadPage, "list unreadable"});
   if (Page.m_NextToken.empty()) {
     if (m_Skipped > 0)
       logEvent(LogSeverity::Warning, "leaf_list.entries_skipped",
-               {{"count", m_Skipped}, {"leafs", m_Leafs.size()}});
+               {{"count", m_Skipped},
+                {"unreadable", m_Unreadable},
+                {"leafs", m_Leafs.size()}});
+    if (m_Leafs.empty() && m_Unreadable > 0)
+      return finishRead(
+          ListError{ListErrorCode::BadPage, "no entry can be read"});
     return finishRead(std::move(m_Leafs));
   }
   if (++m_PageCount >= MaxPages)
@@ -110,6 +127,28 @@
   requestPage(Page.m_NextToken);
 }
 
+void LeafListReader::keepUnreadable(const LeafList &Earlier,
+                                    LeafList &List) const {
+  if (m_UnreadableIds.empty())
+    return;
+  std::set<LeafId> Ids;
+  for (const ListedLeaf &Leaf : List)
+    Ids.insert(Leaf.m_Id);
+  std::size_t KeptCount = 0;
+  for (const ListedLeaf &Leaf : Earlier) {
+    const auto MayBe = [&](const PartialLeafId &Id) {
+      return Id.mayBe(Leaf.m_Id);
+    };
+    if (Ids.contains(Leaf.m_Id) || std::ranges::none_of(m_UnreadableIds, MayBe))
+      continue;
+    List.push_back(Leaf);
+    ++KeptCount;
+  }
+  if (KeptCount > 0)
+    logEvent(LogSeverity::Warning, "leaf_list.unreadable_kept",
+             {{"leafs", KeptCount}, {"entries", m_UnreadableIds.size()}});
+}
+
 void LeafListReader::finishRead(Result<LeafList, ListError> ReadResult) {
   if (!isOk(ReadResult))
     logEvent(LogSeverity::Warning, "leaf_list.read_failed",
