Log syncs that take long

A sync of 200 ms or more is logged now with its file and time (store.slow_sync): heartbeats wait for it, and the shortest election time-out is 300 ms.

--- a/src/ragwortdrift/consensus/file_ops.cpp
+++ b/src/ragwortdrift/consensus/file_ops.cpp
@@ -1,5 +1,8 @@
 #include "ragwortdrift/consensus/file_ops.hpp"
 
+#include "ragwortdrift/base/log.hpp"
+#include "ragwortdrift/base/time.hpp"
+
 #include <cerrno>
 #include <cstdio>
 #include <dirent.h>
@@ -16,6 +19,9 @@
 
 constexpr mode_t FileMode = 0640;
 constexpr const char *LockName = "lock";
+/// Syncs that take this long are logged. Heartbeats wait for them, and the
+/// shortest election time-out is 300 ms.
+constexpr std::chrono::milliseconds SlowSync{200};
 
 Result<Done, IoError> toResult(int ReturnValue) {
   if (ReturnValue < 0)
@@ -23,11 +29,23 @@
   return Done{};
 }
 
+/// Syncs an open file or folder.
+Result<Done, IoError> syncDescriptor(int Fd, const std::string &Name) {
+  const auto Begin = std::chrono::steady_clock::now();
+  Result<Done, IoError> Outcome = toResult(::fsync(Fd));
+  const auto Elapsed = std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now() - Begin);
+  if (Elapsed >= SlowSync)
+    logEvent(LogSeverity::Warning, "store.slow_sync",
+             {{"file", Name}, {"elapsed_ms", Elapsed}});
+  return Outcome;
+}
+
 Result<Done, IoError> syncPath(const std::string &Path) {
   int Fd = ::open(Path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   if (Fd < 0)
     return IoError{errno};
-  Result<Done, IoError> Outcome = toResult(::fsync(Fd));
+  Result<Done, IoError> Outcome = syncDescriptor(Fd, Path);
   ::close(Fd);
   return Outcome;
 }
@@ -169,7 +187,7 @@
 
 Result<Done, IoError> PosixFiles::sync(const std::string &Name) {
   int Fd = openForAppend(Name);
-  return Fd < 0 ? toResult(Fd) : toResult(::fsync(Fd));
+  return Fd < 0 ? toResult(Fd) : syncDescriptor(Fd, Name);
 }
 
 Result<Done, IoError> PosixFiles::truncate(const std::string &Name,
@@ -192,7 +210,7 @@
 }
 
 Result<Done, IoError> PosixFiles::syncFolder() {
-  return toResult(::fsync(m_FolderFd));
+  return syncDescriptor(m_FolderFd, m_Folder);
 }
 
 } // namespace ragwortdrift
