--- a/src/ragwortdrift/net/http_server.cpp
+++ b/src/ragwortdrift/net/http_server.cpp
@@ -1,6 +1,7 @@
 #include "ragwortdrift/net/http_server.hpp"
 #include "ragwortdrift/net/handler_guard.hpp"
 #include "request_reader.hpp"
+#include "server_responses.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -15,13 +16,6 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
-HttpResponse jsonResponse(unsigned Status, std::string Body) {
-  HttpResponse Response{static_cast<http::status>(Status), 11};
-  Response.set(http::field::content_type, "application/json");
-  Response.body() = std::move(Body);
-  return Response;
-}
-
 void HttpExchange::respond(HttpResponse Response) {
   if (auto Respond = std::exchange(m_Respond, nullptr))
     Respond(std::move(Response));
@@ -37,70 +31,6 @@
 /// a lack of file descriptors.
 constexpr std::chrono::milliseconds AcceptRetryDelay{20};
 
-HttpResponse tooLargeResponse() {
-  return jsonResponse(
-      413,
-      R"({"error":"too_large","not_run":true,"detail":"the request exceeds the size limit"})");
-}
-
-HttpResponse headerTooLargeResponse() {
-  return jsonResponse(
-      431,
-      R"({"error":"header_too_large","not_run":true,"detail":"the header exceeds the size limit"})");
-}
-
-HttpResponse malformedResponse() {
-  return jsonResponse(
-      400,
-      R"({"error":"bad_request","not_run":true,"detail":"the request is not HTTP/1.1"})");
-}
-
-HttpResponse unknownCodingResponse() {
-  return jsonResponse(
-      501,
-      R"({"error":"unknown_transfer_coding","not_run":true,"detail":"the body has a transfer coding other than chunked"})");
-}
-
-HttpResponse requestBytesResponse() {
-  return jsonResponse(
-      503,
-      R"({"error":"overloaded","not_run":true,"detail":"too many bytes of requests"})");
-}
-
-/// Sets the length of a response, and drops the body of one that ends with its
-/// header (RFC 9110, sections 6.4.1 and 8.6).
-void preparePayload(HttpResponse &Response, bool AnswersHead) {
-  const bool IsBodiless = Response.result_int() / 100 == 1 ||
-                          Response.result() == http::status::no_content;
-  if (!AnswersHead && !IsBodiless &&
-      Response.result() != http::status::not_modified) {
-    Response.prepare_payload();
-    return;
-  }
-  // HEAD and 304 have the length that the body would have, if it is known.
-  if (AnswersHead && !Response.body().empty())
-    Response.content_length(Response.body().size());
-  if (IsBodiless)
-    Response.erase(http::field::content_length);
-  Response.body().clear();
-}
-
-/// Returns the refusal for a request that cannot be read, or nothing if the
-/// caller is gone or too slow.
-std::optional<HttpResponse> readErrorResponse(beast::error_code Error) {
-  if (Error == http::error::header_limit)
-    return headerTooLargeResponse();
-  if (Error == http::error::body_limit || Error == http::error::buffer_overflow)
-    return tooLargeResponse();
-  if (Error == boost::system::errc::not_supported)
-    return unknownCodingResponse();
-  const bool IsMalformed =
-      Error.category() == make_error_code(http::error::bad_method).category() &&
-      Error != http::error::end_of_stream &&
-      Error != http::error::partial_message;
-  return IsMalformed ? std::optional(malformedResponse()) : std::nullopt;
-}
-
 } // namespace
 
 /// A server connection. Reads at most one request ahead and writes one response
