Bound the comparison of unreadable entries, and tidy the change

At most 100 entries that cannot be read are compared with the leafs of the last list (1,000 before); a list with more is refused, and the last one stays in use.

--- a/include/ragwortdrift/fleet/leave_deadline.hpp
+++ b/include/ragwortdrift/fleet/leave_deadline.hpp
@@ -21,9 +21,10 @@
   TimePoint requestedAt() const { return m_RequestedAt; }
   /// Records whether a voter, given by its address, has ended or is stopping.
   void setGone(const std::string &Voter, bool IsGone);
-  /// Returns true if waiting is of no use any more. Others holds the voters
-  /// besides this VM.
-  bool hasPassed(const std::vector<std::string> &Others, TimePoint Now) const;
+  /// Returns true if waiting is of no use any more. OtherVoters holds the
+  /// voters besides this VM.
+  bool hasPassed(const std::vector<std::string> &OtherVoters,
+                 TimePoint Now) const;
 
 private:
   TimePoint m_RequestedAt;
--- a/src/ragwortdrift/fleet/core_leave.cpp
+++ b/src/ragwortdrift/fleet/core_leave.cpp
@@ -25,11 +25,11 @@
 void CoreNode::requestLeave() {
   if (!m_Log)
     return finishStop("no_store");
-  std::vector<std::string> Others;
+  std::vector<std::string> OtherVoters;
   for (const Member &Voter : m_Log->status().m_Voters)
     if (Voter.m_Address != m_Address)
-      Others.push_back(Voter.m_Address);
-  if (m_LeaveDeadline->hasPassed(Others, m_Timers.now()))
+      OtherVoters.push_back(Voter.m_Address);
+  if (m_LeaveDeadline->hasPassed(OtherVoters, m_Timers.now()))
     return finishStop("timeout");
   m_LeaveTimer = m_Timers.after(LeaveInterval, [this] { requestLeave(); });
   // The new leader decides, since one that removes itself leaves the others
@@ -40,7 +40,7 @@
   }
   // All voters are asked: a VM that is removed hears no more of its leader,
   // which may still have to confirm the removal, nor of the next one.
-  for (const std::string &Voter : Others)
+  for (const std::string &Voter : OtherVoters)
     sendLeaveRequest(Voter);
 }
 
--- a/src/ragwortdrift/fleet/leaf_list_reader.cpp
+++ b/src/ragwortdrift/fleet/leaf_list_reader.cpp
@@ -24,8 +24,9 @@
 constexpr std::size_t MaxPages = 10'000;
 constexpr std::size_t MaxLeafs = 200'000;
 constexpr std::size_t MaxBytes = std::size_t{64} * 1024 * 1024;
-/// Ids of entries that cannot be read. A list with more is not believed.
-constexpr std::size_t MaxUnreadableIds = 1000;
+/// Ids of entries that cannot be read. A list with more is not believed; each
+/// is compared with every leaf that is missing.
+constexpr std::size_t MaxUnreadableIds = 100;
 
 } // namespace
 
--- a/src/ragwortdrift/fleet/leave_deadline.cpp
+++ b/src/ragwortdrift/fleet/leave_deadline.cpp
@@ -24,7 +24,7 @@
     m_GoneVoters.erase(Voter);
 }
 
-bool LeaveDeadline::hasPassed(const std::vector<std::string> &Others,
+bool LeaveDeadline::hasPassed(const std::vector<std::string> &OtherVoters,
                               TimePoint Now) const {
   const Duration Elapsed = Now - m_RequestedAt;
   if (Elapsed >=
@@ -33,11 +33,11 @@
   if (Elapsed < std::min<Duration>(RestartTime, m_StopTime / 2))
     return false;
   const auto GoneCount = static_cast<std::size_t>(
-      std::ranges::count_if(Others, [&](const std::string &Voter) {
+      std::ranges::count_if(OtherVoters, [&](const std::string &Voter) {
         return m_GoneVoters.contains(Voter);
       }));
-  const std::size_t Count = Others.size() + 1;
-  return Others.empty() || 2 * (Count - GoneCount) <= Count;
+  const std::size_t Count = OtherVoters.size() + 1;
+  return OtherVoters.empty() || 2 * (Count - GoneCount) <= Count;
 }
 
 } // namespace ragwortdrift
--- a/src/ragwortdrift/fleet/leave_deadline_test.cpp
+++ b/src/ragwortdrift/fleet/leave_deadline_test.cpp
@@ -40,12 +40,12 @@
 TABLE_TEST(leave_deadline, waits_for_voters_that_may_elect, DeadlineCases) {
   const TimePoint Start{1h};
   LeaveDeadline Deadline(Start, Row.m_StopTime);
-  std::vector<std::string> Others;
+  std::vector<std::string> OtherVoters;
   for (std::size_t I = 0; I < Row.m_Others; ++I)
-    Others.push_back(std::to_string(I + 1));
+    OtherVoters.push_back(std::to_string(I + 1));
   for (const std::string &Voter : Row.m_Gone)
     Deadline.setGone(Voter, true);
-  cr_assert_eq(Deadline.hasPassed(Others, Start + Row.m_Elapsed),
+  cr_assert_eq(Deadline.hasPassed(OtherVoters, Start + Row.m_Elapsed),
                Row.m_HasPassed, "%s", Row.m_Name);
 }
 
--- a/src/ragwortdrift/net/bodiless_test.cpp
+++ b/src/ragwortdrift/net/bodiless_test.cpp
@@ -111,8 +111,8 @@
     cr_assert(Header.find("Content-Length") == std::string::npos, "%s: %s",
               Row.m_Name, Header.c_str());
   const std::size_t Next = Text.find("HTTP/1.1", HeaderEnd);
-  cr_assert_str_eq(Text.substr(HeaderEnd, Next - HeaderEnd).c_str(),
-                   Row.m_ReceivedBody, "%s", Row.m_Name);
+  const std::string Body = Text.substr(HeaderEnd, Next - HeaderEnd);
+  cr_assert_str_eq(Body.c_str(), Row.m_ReceivedBody, "%s", Row.m_Name);
 }
 
 // Guards against a body behind the refusal of a HEAD request that cannot be
